--- /dev/null
+++ b/rainpier/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an outbound gateway's sender: see rainpier.policy and rainpier.interface."""
--- a/dykespoke/policy.py
+++ b/rainpier/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of a sender. Types, events, actions: dykespoke/interface.py. In ms and calls a second."""
+"""All decisions of a sender. Types, events, actions: rainpier/interface.py. In ms and calls a second."""
 
 import heapq
 import math
--- a/dykespoke/simhost.py
+++ b/rainpier/simhost.py
@@ -280,7 +280,7 @@
             sink.write(REPLY.pack(number, REPLY.size + len(body), len(acts)) + body)
             sink.flush()
     except (WireError, KeyError, ValueError) as error:
-        print(f"dykespoke.simhost: {error}", file=sys.stderr)
+        print(f"rainpier.simhost: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 import pytest
 from test_policy import Rig, sends
 
-from dykespoke import interface as i
+from rainpier import interface as i
 
 SAFE = i.MessageClass("safe", 1.0, 2000.0, 20000.0, 0.3)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from dykespoke import interface as i
-from dykespoke.policy import BASE, CAP, Sender
+from rainpier import interface as i
+from rainpier.policy import BASE, CAP, Sender
 
 KEYED = i.MessageClass("keyed", 2.0, 2000.0, 20000.0, 0.3, i.Effect.KEYED, "all", 6000.0)
 SAFE = i.MessageClass("safe", 1.0, 2000.0, 20000.0, 0.3)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -12,6 +12,6 @@
 
 
 def test_policy_fits():
-    lines = (ROOT / "dykespoke/policy.py").read_text().splitlines()
+    lines = (ROOT / "rainpier/policy.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 400
     assert max(map(len, lines)) <= 110
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dykespoke import interface as i
-from dykespoke.policy import Sender
+from rainpier import interface as i
+from rainpier.policy import Sender
 
 E, OUT = i.Effect, i.Outcome
 CLASSES = (
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from dykespoke import interface as i
-from dykespoke import simhost
+from rainpier import interface as i
+from rainpier import simhost
 
 ROOT = Path(__file__).parent.parent
 SETUP = {
@@ -204,7 +204,7 @@
 )  # fmt: skip
 def test_what_the_wire_does_not_allow_ends_the_process_plainly(data):
     done = subprocess.run(
-        [sys.executable, "-m", "dykespoke.simhost"], input=data, cwd=ROOT, capture_output=True, check=False
+        [sys.executable, "-m", "rainpier.simhost"], input=data, cwd=ROOT, capture_output=True, check=False
     )
     assert done.returncode != 0 and len(done.stderr.decode().strip().splitlines()) == 1
 
