Serve on real sockets

A refusal now tells the time to come back. The settings' decoding moved from the adapter to config.py, which both hosts use.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -1,5 +1,6 @@
 """What goes into a Sender and comes out of it. Types and their checks only; all times are milliseconds."""
 
+import math
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -104,6 +105,7 @@
     zone_fee: tuple[float, ...] = ()  # price of a message taken on by a separate route, by zone
     report_fields: tuple[str, ...] = ()
     rates_rough: bool = False  # listed rates are only roughly true
+    ends_answered: bool = False  # the host tells when an end was answered; until then a key's next one waits
 
     def __post_init__(self) -> None:
         """Impossible settings are a mistake of the caller: say which."""
@@ -147,10 +149,37 @@
     outcome: Outcome
     elapsed: float = 0.0
     closed: bool = False  # nothing more is owed for the message
-    wait: float = 0.0  # FULL: told to wait so long
+    wait: float = 0.0  # told to wait so long
     report: tuple[float, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Resumed:
+    """A message that an earlier process of this sender took on; they come in the order in which it did."""
+
+    arrival: Arrival
+    attempts: int = 0  # used up
+    risky_at: float = math.inf  # sending of the first attempt that may have run
+    risky_zone: int = 0
+    interrupted: bool = False  # an attempt was out when that process ended
+    ended: bool = False  # its end is decided, but not answered: it only holds its key
+
+
+@dataclass(slots=True, frozen=True)
+class EndAnswered:
+    """A refusal or failure has been answered, and no attempt of the message is out: it is over."""
+
+    message: int
+    key: int
+
+
+@dataclass(slots=True, frozen=True)
+class Stopping:
+    """The process ends; what is out at that time is cut off."""
+
+    at: float
+
+
 @dataclass(slots=True, frozen=True)
 class Withdrawn:
     message: int
@@ -202,7 +231,10 @@
     token: int
 
 
-Event = Arrival | Result | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
+Event = (
+    Arrival | Resumed | Result | EndAnswered | Stopping | Withdrawn | ListChange | ProbeResult | StreamOpened
+    | PeerNote | TimerDue
+)  # fmt: skip
 
 
 # --- actions ---
--- /dev/null
+++ b/rainpier/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sender: the decision module on sockets."""
--- /dev/null
+++ b/rainpier/net/node.py
@@ -0,0 +1,342 @@
+"""Rounds: what happened goes into Sender.handle once a round, and what it decides is carried out."""
+
+import asyncio
+import logging
+import math
+import time
+from collections.abc import Awaitable, Iterable
+from dataclasses import dataclass, replace
+
+from .. import interface as i
+from ..config import Config, ConfigError, address
+from ..policy import Sender
+from .clients import Put, error
+from .journal import Entry, Journal
+from .platform import Discovery, Host, Notices, read_hosts
+from .receivers import Call, Ending, Receivers
+
+log = logging.getLogger(__name__)
+GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
+OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
+SWEEP = 0.1  # s between looks for such messages
+DOOR_WAIT = 500  # ms after which a client may come again where there is no room at all
+OK = b"+OK\r\n"
+
+
+@dataclass(slots=True, eq=False)
+class Intake:
+    """A message handed in, until the round that takes it on or refuses it."""
+
+    entry: Entry
+    answer: asyncio.Future[bytes]
+
+
+class Node:
+    """One sender: the module, its journal, and the sockets round it."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.loop = config, asyncio.get_running_loop()
+        self.s = replace(config.settings, ends_answered=True)
+        self.epoch = time.time() * 1000 - self.loop.time() * 1000  # one clock for all processes
+        self.sender = Sender(self.s, config.seed)
+        self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
+        self.kinds = {kind.name: number for number, kind in enumerate(self.s.kinds)}
+        self.journal = Journal(config.state, config.disk, self.now)
+        self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.sockets // 4)
+        self.discovery = Discovery(config.discovery, self.on_list)
+        self.notices = Notices(config.discovery, self.on_answered)
+        self.events: list[i.Event] = []
+        self.intake: dict[int, Intake] = {}  # by number, until the next round
+        self.names: dict[str, Intake] = {}  # the same by id
+        self.out: dict[int, Call] = {}  # by message: the call that it travels in
+        self.hosts: dict[str, int] = {}
+        self.destinations: set[int] = set()  # all that were ever listed
+        self.told_until: dict[tuple[str, int], float] = {}  # by route: until then a told wait holds
+        self.next_round: asyncio.TimerHandle | None = None
+        self.last_round = -math.inf
+        self.tasks: list[asyncio.Task] = []
+
+    @property
+    def now(self) -> float:
+        """Unix time, ms."""
+        return self.loop.time() * 1000 + self.epoch
+
+    # --- start and stop ---
+
+    async def start(self) -> None:
+        """Take up the list and what an earlier process left."""
+        if self.config.known:
+            self.on_list(i.ListKind.CACHED, read_hosts(self.config.known))
+        self.tasks = [self.loop.create_task(self.discovery.run()), self.loop.create_task(self.notices.run()),
+                      self.loop.create_task(self.sweep())]  # fmt: skip
+        for task in self.tasks:
+            task.add_done_callback(self.on_task_end)
+        # Guards against sending what was left to a receiver that drained meanwhile.
+        if self.journal.entries:
+            await asyncio.wait([asyncio.ensure_future(self.discovery.whole.wait())], timeout=0.3)
+        for entry in list(self.journal.entries.values()):
+            self.resume(entry)
+
+    def resume(self, entry: Entry) -> None:
+        cls = self.classes.get(entry.cls)
+        if entry.end:
+            self.notices.add(entry)
+        elif cls is None:
+            log.error("message %s is of a class that is no longer known: %s", entry.id, entry.cls)
+            self.conclude(entry, GIVEN_UP, 0)
+        if cls is None:
+            return
+        interrupted = entry.begun > 0
+        if interrupted:  # begun and without an outcome: as if its connection had been reset
+            self.journal.results([(entry, i.Outcome.RESET)])
+        arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key)
+        risky_at = entry.risky_at or math.inf
+        self.push(
+            i.Resumed(arrival, entry.attempts, risky_at, entry.risky_zone, interrupted, ended=bool(entry.end))
+        )
+
+    @staticmethod
+    def on_task_end(task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task of the sender failed", exc_info=task.exception())
+
+    def stopping(self, at: float) -> None:
+        """The process will end at that loop time."""
+        self.push(i.Stopping(at * 1000 + self.epoch))
+
+    @property
+    def busy(self) -> bool:
+        """Calls are out, or notices unanswered."""
+        return bool(self.out or self.notices.waiting)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.journal.close()
+
+    # --- rounds ---
+
+    def push(self, event: i.Event) -> None:
+        self.events.append(event)
+        if self.next_round is None:
+            at = max(self.loop.time(), self.last_round + self.s.tick / 1000)
+            self.next_round = self.loop.call_at(at, self.round)
+
+    def round(self) -> None:
+        self.next_round, self.last_round = None, self.loop.time()
+        events, self.events = self.events, []
+        intake, self.intake, self.names = self.intake, {}, {}
+        try:
+            actions = self.sender.handle(self.now, events)
+        except Exception:  # its messages still get their end: see sweep
+            log.exception("a round failed: %d events", len(events))
+            actions = []
+        ends = {a.message: a for a in actions if isinstance(a, i.Refuse | i.Fail)}
+        for number, handed in intake.items():
+            self.settle_intake(handed, ends.pop(number, None))
+        for end in ends.values():
+            self.on_end(end)
+        self.carry_out(actions)
+        self.journal.tidy(self.now)
+
+    def settle_intake(self, handed: Intake, end: i.Refuse | i.Fail | None) -> None:
+        """A message is taken on once it is journalled, and only then is its client told so."""
+        entry, answer = handed.entry, OK
+        if isinstance(end, i.Refuse):
+            answer = b"-BUSY %d\r\n" % math.ceil(end.retry_after)
+        elif end is not None:
+            answer = error("given up")
+        elif not self.journal.take(entry):
+            answer = b"-BUSY %d\r\n" % DOOR_WAIT
+            self.push(i.Withdrawn(entry.number))
+        if end is not None and entry.key:
+            self.push(i.EndAnswered(entry.number, entry.key))
+        if not handed.answer.done():
+            handed.answer.set_result(answer)
+
+    def carry_out(self, actions: Iterable[i.Action]) -> None:
+        sends: dict[int, list[i.Send]] = {}
+        for action in actions:
+            match action:
+                case i.Send():
+                    sends.setdefault(action.endpoint, []).append(action)
+                case i.Cancel(message):
+                    if (call := self.out.get(message)) and call.task:
+                        call.task.cancel()
+                case i.SetTimer(token, delay):
+                    self.loop.call_later(delay / 1000, self.push, i.TimerDue(token))
+                case i.CloseIdle(endpoint):
+                    self.receivers.listed[endpoint].close_idle()
+                case i.Log(text):
+                    log.info("%s", text)
+        for endpoint, sent in sends.items():
+            self.send(endpoint, sent)
+
+    def send(self, endpoint: int, sends: list[i.Send]) -> None:
+        """What a round sends to one receiver travels together, as far as its kind allows."""
+        receiver, now = self.receivers.listed[endpoint], self.loop.time()
+        owed = [(send, self.journal.entries.get(send.message)) for send in sends]
+        known = [(send, entry) for send, entry in owed if entry is not None]
+        for at in range(0, len(known), receiver.batch):
+            chunk = known[at : at + receiver.batch]
+            entries = [entry for _, entry in chunk]
+            longest = max(send.timeout for send, _ in chunk)
+            call = Call(receiver, entries, [entry.attempts for entry in entries], now, now + longest / 1000)
+            for send, entry in chunk:
+                entry.attempts += 1
+                self.out[entry.number] = call
+                # Guards against one message at its deadline cutting short the call of the others.
+                if send.timeout < longest and entry.deadline < call.until * 1000 + self.epoch:
+                    self.loop.call_later(send.timeout / 1000, self.expire, call, entry)
+            self.receivers.start(call)
+
+    # --- intake ---
+
+    def put(self, put: Put) -> Awaitable[bytes] | bytes:
+        """A client hands in a message."""
+        if put.cls not in self.classes:
+            return error(f"unknown class {put.cls}")
+        if put.destination not in self.destinations:
+            return error(f"unknown destination {put.destination}")
+        if put.id in self.names:
+            return self.names[put.id].answer
+        if self.journal.knows(put.id, self.now):  # guards against taking on twice what came twice
+            return OK
+        held = len(self.journal.entries) + len(self.intake)
+        if held >= self.s.max_open or not self.journal.room(put.body):
+            return b"-BUSY %d\r\n" % DOOR_WAIT
+        cls = self.classes[put.cls]
+        number, self.journal.next = self.journal.next, self.journal.next + 1
+        key = put.key if self.s.classes[cls].in_order else 0
+        deadline = self.now + put.span
+        entry = Entry(number, put.id, put.cls, put.destination, key, put.token, deadline, put.body)
+        handed = self.intake[number] = self.names[put.id] = Intake(entry, self.loop.create_future())
+        self.push(
+            i.Arrival(number, cls, put.destination, deadline, key, 0, put.repeated, put.inherited),
+        )
+        return handed.answer
+
+    # --- calls ---
+
+    def route(self, listed: i.Listed) -> tuple[str, int]:
+        """What a told wait binds: the destination, or the receiver where routes are apart."""
+        apart = self.s.kinds[listed.kind].apart
+        return ("receiver", listed.endpoint) if apart else ("destination", listed.destination)
+
+    def may_write(self, call: Call) -> bool:
+        """The connection is up, and the first byte goes out now: unless something was told meanwhile."""
+        receiver, now = call.receiver, self.loop.time()
+        # Guards drains and waits against calls whose connection took long to come up.
+        if now - receiver.told_at > self.s.drain_grace / 2000:
+            return False
+        if now < self.told_until.get(self.route(receiver.listed), 0.0):
+            return False
+        return self.journal.begin(call.entries, self.now, receiver.listed.zone)
+
+    def on_ended(self, call: Call, ending: Ending) -> None:
+        if ending.wait:
+            route = self.route(call.receiver.listed)
+            until = self.loop.time() + ending.wait / 1000
+            self.told_until[route] = max(self.told_until.get(route, 0.0), until)
+        over, owed = [], []
+        for entry, attempt, (outcome, nothing_owed) in zip(
+            call.entries, call.attempts, ending.outcomes, strict=True
+        ):
+            if entry.number in call.settled:
+                self.release(entry)
+                continue
+            closed = nothing_owed or outcome is i.Outcome.OK
+            over.append(entry) if closed else owed.append((entry, outcome))
+            self.settle(call, entry, attempt, outcome, closed, ending)
+        if over:
+            self.journal.over(over)
+        self.journal.results(owed)
+
+    def expire(self, call: Call, entry: Entry) -> None:
+        """A message's own time is up while its call goes on for the others."""
+        if call.open and entry.number not in call.settled:
+            call.settled.add(entry.number)
+            self.journal.results([(entry, i.Outcome.TIMEOUT)])
+            attempt = call.attempts[call.entries.index(entry)]
+            ending = Ending([])
+            self.settle(call, entry, attempt, i.Outcome.TIMEOUT, False, ending)
+            self.out[entry.number] = call  # still: its key's next one waits for the call
+
+    def settle(
+        self, call: Call, entry: Entry, attempt: int, outcome: i.Outcome, closed: bool, ending: Ending
+    ) -> None:
+        self.out.pop(entry.number, None)
+        elapsed = (self.loop.time() - call.started) * 1000
+        endpoint = call.receiver.listed.endpoint
+        self.push(
+            i.Result(entry.number, attempt, endpoint, outcome, elapsed, closed, ending.wait, ending.report)
+        )
+
+    # --- ends ---
+
+    def on_end(self, action: i.Refuse | i.Fail) -> None:
+        entry = self.journal.entries.get(action.message)
+        if entry is None or entry.end:
+            return
+        if isinstance(action, i.Refuse):
+            self.conclude(entry, HANDED_BACK, math.ceil(action.retry_after))
+        else:
+            self.conclude(entry, GIVEN_UP, 0)
+
+    def conclude(self, entry: Entry, end: str, retry: int) -> None:
+        self.journal.end(entry, end, retry)
+        self.notices.add(entry)
+
+    def on_answered(self, entries: list[Entry]) -> None:
+        self.journal.over(entries)
+        for entry in entries:
+            if entry.number not in self.out:
+                self.release(entry)
+
+    def release(self, entry: Entry) -> None:
+        """Its notice is answered and none of its calls is open: its key's next message may go."""
+        self.out.pop(entry.number, None)
+        if entry.key and entry.number not in self.journal.entries:
+            self.push(i.EndAnswered(entry.number, entry.key))
+
+    async def sweep(self) -> None:
+        """Guards against a message without an end: whatever went wrong, its client is told in time."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            late = self.now - OVERDUE
+            for entry in [e for e in self.journal.entries.values() if e.deadline < late and not e.end]:
+                log.error("message %s was not ended in time; given up", entry.id)
+                self.push(i.Withdrawn(entry.number))
+                self.conclude(entry, GIVEN_UP, 0)
+
+    # --- the list ---
+
+    def on_list(self, kind: i.ListKind, hosts: list[Host]) -> None:
+        entries = []
+        for host in hosts:
+            if (listed := self.listed(host)) is not None:
+                entries.append(listed)
+        if kind is not i.ListKind.DELTA:  # a receiver missing from a whole list is gone
+            present = {entry.endpoint for entry in entries}
+            for number, receiver in self.receivers.listed.items():
+                if number not in present:
+                    gone = replace(receiver.listed, condition=i.Condition.GONE)
+                    self.receivers.update(gone, receiver.host, receiver.address)
+        self.push(i.ListChange(kind, tuple(entries)))
+
+    def listed(self, host: Host) -> i.Listed | None:
+        if host.kind not in self.kinds:
+            log.error("discovery: %s is of an unknown class: %s", host.name, host.kind)
+            return None
+        try:
+            dial = address(host.dial, host.name)
+        except ConfigError as failure:
+            log.error("discovery: %s", failure)
+            return None
+        number = self.hosts.setdefault(host.name, len(self.hosts) + 1)
+        zone = self.config.zones.index(host.site) if host.site in self.config.zones else 0
+        rate = host.share if self.config.rated else None
+        listed = i.Listed(number, host.block, zone, self.kinds[host.kind], host.health, rate, host.born)
+        self.receivers.update(listed, host.name, dial)
+        self.destinations.add(host.block)
+        return listed
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -30,6 +30,7 @@
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
 STALE = 0.4  # share of a kind's calls reset, above which idle connections are not trusted
 IDLE = 30000.0  # ms after which what was learnt of a route without calls, or of connections, is dropped
+STOP_CALLS = 3.0  # usual calls that must fit before the process ends: most calls take less
 EVICT_AT = 0.95  # of the messages that may be held: the least worth is refused from there on
 
 
@@ -208,7 +209,10 @@
         self.free, self.deadlines = settings.slots, list[tuple[float, int]]()
         self.now, self.wake, self.timer_at, self.acts = 0.0, math.inf, math.inf, []
         self.watching, self.ask_at, self.ask_wait = not settings.must_ask, 0.0, BASE
+        self.stop_at = math.inf
         self.on = {i.Arrival: self.on_arrival, i.Result: self.on_result, i.ListChange: self.on_list,
+                   i.Resumed: self.on_resumed, i.Stopping: self.on_stopping,
+                   i.EndAnswered: lambda event: self.leave_line(event.key, event.message),
                    i.Withdrawn: lambda event: self.end(event.message)}  # fmt: skip
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -255,15 +259,39 @@
     def on_arrival(self, event: i.Arrival) -> None:
         if event.message in self.live:
             return
+        self.hold(event)
+        if len(self.live) > max(1.0, EVICT_AT * self.s.max_open):  # guards against losing worthier ones
+            held = [m for m in self.live.values() if not m.out and m.risky_at == math.inf]
+            self.finish(min(held, key=lambda m: (m.value(self.now, self.s.late_halves), m.due)))
+
+    def hold(self, event: i.Arrival) -> Message:
         cls = self.s.classes[event.cls]
         message = self.live[event.message] = Message(event, cls, cls.worth * self.share(event.tenant))
         self.held.setdefault(message.dest, {})[message.id] = message
         if message.key:
             self.lines.setdefault(message.key, []).append(message.id)
         heapq.heappush(self.deadlines, (message.due - ANSWER_MARGIN, message.id))
-        if len(self.live) > max(1.0, EVICT_AT * self.s.max_open):  # guards against losing worthier ones
-            held = [m for m in self.live.values() if not m.out and m.risky_at == math.inf]
-            self.finish(min(held, key=lambda m: (m.value(self.now, self.s.late_halves), m.due)))
+        return message
+
+    def on_resumed(self, event: i.Resumed) -> None:
+        """Go on with a message of an earlier process; an attempt that it left behind may have run."""
+        if event.ended:
+            if event.arrival.key and self.s.classes[event.arrival.cls].in_order:
+                self.lines.setdefault(event.arrival.key, []).append(event.arrival.message)
+            return
+        message = self.hold(event.arrival)
+        message.attempts = event.attempts
+        message.risky_at, message.risky_zone = event.risky_at, event.risky_zone
+        if event.interrupted:  # as after a reset: the next try waits, and the key rests
+            message.wait = self.draw(message.wait)
+            message.not_before = self.now + max(message.wait, self.s.turn_gap)
+            if message.key:
+                self.rests[message.key] = self.now + self.s.turn_gap + 1
+        if self.now > self.repeat_until(message) or message.attempts >= self.s.max_attempts:
+            self.finish(message)
+
+    def on_stopping(self, event: i.Stopping) -> None:
+        self.stop_at = event.at
 
     def share(self, tenant: int) -> float:
         """What a tenant's next message is worth, as a share: full within its quota, little beyond."""
@@ -275,11 +303,11 @@
         self.quota[tenant] = (owed + within, self.now)
         return 1.0 if within else self.s.over_share_worth
 
-    def end(self, key: int) -> None:
-        """Nothing more is owed. Its line moves on, but not past an attempt that is still out."""
+    def end(self, key: int, answered: bool = True) -> None:
+        """Nothing more is to do. Its line moves on, but not past an attempt or an end not yet answered."""
         if message := self.live.pop(key, None):
             self.held[message.dest].pop(key, None)
-            if not message.out:
+            if not message.out and answered:
                 self.leave_line(message.key, key)
 
     def leave_line(self, key: int, message: int) -> None:
@@ -290,8 +318,10 @@
         """Give up: refused where the promise that handing in again is harmless holds, else failed."""
         until = self.repeat_until(message)
         harmless = until == math.inf or message.cls.group == "all" and self.now < until
-        self.acts.append(i.Refuse(message.id) if harmless else i.Fail(message.id))
-        self.end(message.id)
+        told = min((r.wait_until for r in self.routes.get(message.dest, ())), default=0.0)
+        back = max(message.wait, message.not_before - self.now, told - self.now)
+        self.acts.append(i.Refuse(message.id, back) if harmless else i.Fail(message.id))
+        self.end(message.id, answered=not self.s.ends_answered)
 
     def repeat_until(self, message: Message) -> float:
         """Until when a message may be sent again, after an attempt that may have run."""
@@ -429,6 +459,8 @@
             elsewhere = until < math.inf and m.cls.group == "zone" and m.risky_zone != endpoint.info.zone
             if at > self.now:
                 self.wake = min(self.wake, at)
+            elif self.now + STOP_CALLS * self.usual_call(m, route) > self.stop_at:
+                continue  # guards against calls cut off by the end of the process: they may have run
             elif not (m.key and self.lines[m.key][0] != m.id or self.now > until or elsewhere):
                 first = m.cls.effect if route.down else 0  # trials are best made with what may be repeated
                 able.append((first, -m.value(self.now, self.s.late_halves), m.aim_at, m.id, m))
--- a/rainpier/simhost.py
+++ b/rainpier/simhost.py
@@ -8,13 +8,13 @@
 from typing import BinaryIO
 
 from . import interface as i
+from .config import settings
 from .policy import Sender
 
 STATUS = {
     0: i.Outcome.OK, 255: i.Outcome.ERROR, 254: i.Outcome.FULL, 253: i.Outcome.TIMEOUT,
     252: i.Outcome.CONNECT_FAILED, 251: i.Outcome.RESET, 250: i.Outcome.CANCELLED, 249: i.Outcome.MOOT,
 }  # fmt: skip
-EFFECT = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
 BATCH, REPLY, RECORD = struct.Struct(">IIId"), struct.Struct(">III"), struct.Struct(">BI")
 ENTRY = struct.Struct(">IHHHBfd")
 ALL_PEERS = 0xFFFFFFFF
@@ -48,43 +48,6 @@
         return self.take(f"{count}f")
 
 
-def settings(raw: dict) -> i.Settings:
-    """The wire's settings in the interface's terms; absent keys take their plain meaning."""
-    info, limits, rules = raw.get("family-info", {}), raw.get("policy-limits", {}), raw.get("rules", {})
-    names = raw.get("kinds", [])
-    batch, apart = info.get("per-call", []), info.get("kind-apart", [])
-    return i.Settings(
-        classes=tuple(
-            i.MessageClass(
-                name=c.get("name", ""), worth=c.get("worth", 1.0), aim=c.get("objective", 1000.0),
-                deadline=c.get("hard-limit", 10000.0), late_worth=c.get("late-worth", 0.0),
-                effect=EFFECT[c.get("semantics", "free")], group=c.get("group", "all"),
-                repeat_window=c.get("repeat-window", 0.0), in_order=c.get("keep-order", False),
-            )
-            for c in raw.get("classes", [])
-        ),
-        tenants=tuple(i.Tenant(t.get("name", ""), t.get("quota-per-s", 0.0)) for t in raw.get("tenants", [])),
-        kinds=tuple(
-            i.Kind(name, batch[n] if n < len(batch) else 1, apart[n] if n < len(apart) else False)
-            for n, name in enumerate(names)
-        ) or (i.Kind(),),
-        senders=raw.get("fleet-size", 1), ordinal=raw.get("ordinal", 0), zone=raw.get("zone", 0),
-        slots=info.get("workers", 1_000_000), max_open=limits.get("open-cap", 1_000_000),
-        max_attempts=limits.get("max-attempts", 1_000_000), late_halves=info.get("late") == "by_half",
-        over_share_worth=raw.get("over-share-worth", 1.0), must_ask=raw.get("membership-mode") == "subscribe",
-        may_probe=limits.get("may-probe", False), may_cancel=limits.get("cancelling", False),
-        parallel_tries=limits.get("parallel-tries", False),
-        connect_timeout=limits.get("connect-timeout", 1000.0), keep_alive=limits.get("keepalive", 15000.0),
-        tick=raw.get("tick", 1.0), answer_grace=rules.get("grace-to-answer", 0.0),
-        drain_grace=rules.get("drain-grace", 0.0), overload_factor=rules.get("overload-factor", 2.0),
-        fall=rules.get("fall", 3000.0), cold_from=rules.get("cold-from", 0.2),
-        cold=rules.get("cold", 10000.0),
-        turn_gap=rules.get("turn-gap", 0.0), zone_fee=tuple(info.get("zone-fee", [])),
-        report_fields=tuple(raw.get("report", {}).get("fields", [])),
-        rates_rough=raw.get("weights") == "rough",
-    )  # fmt: skip
-
-
 class Instance:
     """One sender and what its translation needs."""
 
