Drop idle connections after a silent call; bound batches; free slots

Found in review, each reproduced by a test over sockets before the change: - receivers.py, broken(): after a time-out, reset or failed connect the other idle connections to that receiver were kept.

--- a/rainpier/net/journal.py
+++ b/rainpier/net/journal.py
@@ -22,7 +22,7 @@
 FULL_SHARE = 0.5  # of the disk: a file longer than that is written anew
 GROWTH = 120  # bytes by which a message's record may grow with its attempts
 ENDED = 60  # bytes for the memory of an id that is over
-MAX_ENDED = 5000  # ids remembered after their end
+ENDED_SHARE = 0.05  # of the disk: for ids remembered after their end
 
 
 @dataclass(slots=True)
@@ -75,6 +75,7 @@
 
     def __init__(self, folder: Path, disk: int, now: float) -> None:
         self.path, self.fresh, self.disk = folder / "journal", folder / "journal.new", disk
+        self.most_ended = int(ENDED_SHARE * disk / ENDED)
         self.entries: dict[int, Entry] = {}
         self.numbers: dict[str, int] = {}  # by message id
         self.ended: dict[str, float] = {}  # ids that are over, until then: not to be taken on twice
@@ -131,7 +132,7 @@
             self.live -= self.sizes.pop(number)
             self.numbers.pop(entry.id, None)
             self.ended[entry.id] = entry.deadline
-            if len(self.ended) > MAX_ENDED:
+            if len(self.ended) > self.most_ended:
                 del self.ended[next(iter(self.ended))]
 
     def room(self, body: bytes) -> bool:
--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections.abc import Awaitable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from .. import interface as i
@@ -13,12 +14,13 @@
 from .clients import Put, error
 from .journal import Entry, Journal
 from .platform import Discovery, Host, Notices, read_hosts
-from .receivers import Call, Ending, Receivers
+from .receivers import Call, Ending, Receivers, batches
 
 log = logging.getLogger(__name__)
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
 SWEEP = 0.1  # s between looks for such messages
+FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
 DOOR_WAIT = 500  # ms after which a client may come again where there is no room at all
 OK = b"+OK\r\n"
 
@@ -73,7 +75,8 @@
             task.add_done_callback(self.on_task_end)
         # Guards against sending what was left to a receiver that drained meanwhile.
         if self.journal.entries:
-            await asyncio.wait([asyncio.ensure_future(self.discovery.whole.wait())], timeout=0.3)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.discovery.whole.wait(), FIRST_LIST)
         for entry in list(self.journal.entries.values()):
             self.resume(entry)
 
@@ -175,19 +178,21 @@
     def send(self, endpoint: int, sends: list[i.Send]) -> None:
         """What a round sends to one receiver travels together, as far as its kind allows."""
         receiver, now = self.receivers.listed[endpoint], self.loop.time()
-        owed = [(send, self.journal.entries.get(send.message)) for send in sends]
-        known = [(send, entry) for send, entry in owed if entry is not None]
-        for at in range(0, len(known), receiver.batch):
-            chunk = known[at : at + receiver.batch]
-            entries = [entry for _, entry in chunk]
-            longest = max(send.timeout for send, _ in chunk)
+        timeouts = {send.message: send.timeout for send in sends}
+        for message in timeouts.keys() - self.journal.entries.keys():
+            # Guards the module's slots: what could not be journalled is not sent, and its attempt is over.
+            self.push(i.Result(message, 0, endpoint, i.Outcome.MOOT, closed=True))
+        owed = [self.journal.entries[message] for message in timeouts if message in self.journal.entries]
+        for entries in batches(owed, receiver.batch):
+            longest = max(timeouts[entry.number] for entry in entries)
             call = Call(receiver, entries, [entry.attempts for entry in entries], now, now + longest / 1000)
-            for send, entry in chunk:
+            for entry in entries:
                 entry.attempts += 1
                 self.out[entry.number] = call
+                timeout = timeouts[entry.number]
                 # Guards against one message at its deadline cutting short the call of the others.
-                if send.timeout < longest and entry.deadline < call.until * 1000 + self.epoch:
-                    self.loop.call_later(send.timeout / 1000, self.expire, call, entry)
+                if timeout < longest and entry.deadline < call.until * 1000 + self.epoch:
+                    self.loop.call_later(timeout / 1000, self.expire, call, entry)
             self.receivers.start(call)
 
     # --- intake ---
--- a/rainpier/net/platform.py
+++ b/rainpier/net/platform.py
@@ -18,7 +18,7 @@
 PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
 NOTICE_TIMEOUT = 0.5  # s; notices are answered at once
 NOTICE_PAUSES = (0.02, 0.05, 0.1, 0.2, 0.5)  # s between tries of the same notices
-MOST_NOTICES = 500  # in one request
+MOST_NOTICES = 200  # in one request, whose body holds 64 KiB
 
 
 @dataclass(slots=True, frozen=True)
--- a/rainpier/net/receivers.py
+++ b/rainpier/net/receivers.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from .. import interface as i
@@ -18,6 +18,7 @@
          504: Outcome.MOOT, 410: Outcome.MOOT, 400: Outcome.FULL, 413: Outcome.FULL}  # fmt: skip
 EACH = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
         "over": Outcome.MOOT, "spent": Outcome.MOOT}  # fmt: skip
+MAX_BODY = 65536  # bytes of a call's body
 IDLE_SHARE = 0.9  # of the time after which a receiver closes an idle connection: older ones are not used
 
 
@@ -61,6 +62,21 @@
     report: tuple[float, ...] = ()
 
 
+def batches(entries: list[Entry], most: int) -> Iterator[list[Entry]]:
+    """As many messages to a call as its kind allows and a body holds."""
+    batch: list[Entry] = []
+    size = 0
+    for entry in entries:
+        need = len(entry.body) * 4 // 3 + len(entry.id) + len(entry.token) + 64
+        if batch and (len(batch) == most or size + need > MAX_BODY):
+            yield batch
+            batch, size = [], 0
+        batch.append(entry)
+        size += need
+    if batch:
+        yield batch
+
+
 def told_wait(answer: Answer) -> float:
     """Any answer may tell a wait, and it binds alike."""
     try:
@@ -167,6 +183,9 @@
 
     def broken(self, call: Call, connection: Connection | None, outcome: Outcome) -> Ending:
         """Whether the last byte was written decides whether it may have run; a head of 200, that it has."""
+        # Guards against machines that vanished: what is written on their old connections may have run for all
+        # that is known, while a new one that does not come up proves that it never did.
+        call.receiver.close_idle()
         if not call.written:
             return self.all(call, Outcome.CONNECT_FAILED)
         if connection is not None and connection.status == 200 and len(call.entries) == 1:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -86,6 +86,24 @@
     drive(story())
 
 
+def test_what_the_disk_has_no_room_for_is_refused_and_holds_no_slot(tmp_path, monkeypatch):
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                take = node.journal.take
+                node.journal.take = lambda entry: False
+                for n in range(10):
+                    assert (await client.ask(put(f"m{n}"))).startswith("-BUSY ")
+                node.journal.take = take
+                await until(lambda: node.sender.free == 8 and not node.sender.live)
+                assert await client.ask(put("last")) == "OK"
+                assert (await receiver.next())[1][b"x-call-id"] == b"last"
+                assert agent.notices.empty()
+
+    drive(story())
+
+
 def test_a_message_in_order_waits_until_the_notice_of_the_one_before_is_answered(tmp_path):
     """An end by notice is over only when the notice is answered."""
 
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -10,7 +10,7 @@
 from rainpier.config import settings
 from rainpier.interface import Outcome as O
 from rainpier.net.journal import Entry
-from rainpier.net.receivers import Call, Receivers
+from rainpier.net.receivers import Call, Receivers, batches
 
 
 def entries(*names):
@@ -203,6 +203,33 @@
     drive(story())
 
 
+def test_after_a_silent_call_old_connections_are_not_trusted():
+    """A machine that vanished leaves them open: an unsafe message was spent on each, though none could arrive."""
+
+    async def story():
+        never = asyncio.get_running_loop().create_future()
+        async with HttpPeer(lambda request, body: never if body == b"hang" else (200, [], b"")) as peer:
+            bench = Bench(peer.port)
+            for name in "ab":
+                bench.start(name)
+            assert [outcomes(await bench.ended.get()) for _ in range(2)] == [[O.OK], [O.OK]]
+            assert len(bench.receiver.idle) == 2
+            assert outcomes(await bench.call("c", body=b"hang", timeout=0.2)) == [O.TIMEOUT]
+            assert not bench.receiver.idle
+            assert outcomes(await bench.call("d")) == [O.OK] and peer.accepted == 3
+
+    drive(story())
+
+
+def test_a_batch_holds_no_more_than_a_body_may():
+    sent = entries(*"abcdefgh")
+    for entry in sent[2:6]:
+        entry.body = b"x" * 20000
+    split = [[entry.id for entry in batch] for batch in batches(sent, 3)]
+    assert split == [["a", "b", "c"], ["d", "e"], ["f", "g", "h"]]
+    assert [len(batch) for batch in batches(sent, 1)] == [1] * 8
+
+
 def test_what_may_not_be_written_any_more_is_not_sent():
     async def story():
         async with HttpPeer(lambda request, body: (200, [], b"")) as peer:
