Keep tasks alive, and write no outcome for what the end cuts off

The sender's tasks are begun again, with a trace, and a notice leaves the list only after that. - watches wait 20 s, so that a silent discovery is not asked anew early.

--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -4,7 +4,7 @@
 import logging
 import math
 import time
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
@@ -20,6 +20,7 @@
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
 SWEEP = 0.1  # s between looks for such messages
+RESTART = 0.1  # s before a failed task of the sender is begun again
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
 DOOR_WAIT = 500  # ms after which a client may come again where there is no room at all
 OK = b"+OK\r\n"
@@ -69,10 +70,8 @@
         """Take up the list and what an earlier process left."""
         if self.config.known:
             self.on_list(i.ListKind.CACHED, read_hosts(self.config.known))
-        self.tasks = [self.loop.create_task(self.discovery.run()), self.loop.create_task(self.notices.run()),
-                      self.loop.create_task(self.sweep())]  # fmt: skip
-        for task in self.tasks:
-            task.add_done_callback(self.on_task_end)
+        for run in (self.discovery.run, self.notices.run, self.sweep):
+            self.tasks.append(self.loop.create_task(self.keep(run)))
         # Guards against sending what was left to a receiver that drained meanwhile.
         if self.journal.entries:
             with suppress(TimeoutError):
@@ -99,9 +98,14 @@
         )
 
     @staticmethod
-    def on_task_end(task: asyncio.Task) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a task of the sender failed", exc_info=task.exception())
+    async def keep(run: Callable[[], Awaitable[None]]) -> None:
+        """Guards against the silent end of a task that all messages depend on."""
+        while True:
+            try:
+                await run()
+            except Exception:
+                log.exception("a task of the sender failed, and is begun again")
+                await asyncio.sleep(RESTART)
 
     def stopping(self, at: float) -> None:
         """The process will end at that loop time."""
@@ -113,8 +117,12 @@
         return bool(self.out or self.notices.waiting)
 
     def close(self) -> None:
+        """What is still out stays in the journal as begun, for the next process: it may have run."""
         for task in self.tasks:
             task.cancel()
+        if self.next_round is not None:
+            self.next_round.cancel()
+        self.receivers.close()
         self.journal.close()
 
     # --- rounds ---
--- a/rainpier/net/platform.py
+++ b/rainpier/net/platform.py
@@ -12,7 +12,7 @@
 
 log = logging.getLogger(__name__)
 HEALTH = {"SERVING": Condition.READY, "DRAINING": Condition.DRAINING, "DELETED": Condition.GONE}
-WAIT = 10.0  # s that a watch may wait for news
+WAIT = 20.0  # s that a watch may wait for news
 SPARE = 1.5  # s beyond that after which discovery counts as silent and is asked again
 LIST_TIMEOUT = 2.0  # s for the whole list, which comes at once or not at all
 PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
@@ -109,11 +109,11 @@
             batch = list(self.waiting.values())[:MOST_NOTICES]
             if await self.tell(batch):
                 failures = 0
+                self.answered(batch)
                 for entry in batch:
                     del self.waiting[entry.number]
                 if not self.waiting:
                     self.some.clear()
-                self.answered(batch)
             else:
                 await asyncio.sleep(NOTICE_PAUSES[min(failures, len(NOTICE_PAUSES) - 1)])
                 failures += 1
--- a/rainpier/net/receivers.py
+++ b/rainpier/net/receivers.py
@@ -155,6 +155,15 @@
         self.calls.add(call)
         call.task = self.loop.create_task(self.run(call))
 
+    def close(self) -> None:
+        """End all calls, with nothing told any more."""
+        self.ended = lambda call, ending: None
+        for call in self.calls:
+            if call.task is not None:
+                call.task.cancel()
+        for receiver in self.listed.values():
+            receiver.close_idle()
+
     async def run(self, call: Call) -> None:
         ending, connection = None, None
         try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,8 +23,6 @@
     finally:
         await clients.close(within=1.0)
         node.close()
-        for call in list(node.receivers.calls):
-            call.task.cancel()
         await asyncio.sleep(0)
 
 
@@ -236,6 +234,28 @@
     drive(story())
 
 
+def test_a_task_that_fails_is_logged_and_begun_again(tmp_path, caplog):
+    async def story():
+        async with HttpPeer(lambda request, body: (500, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                answered, failed = node.notices.answered, []
+
+                def fail(entries):
+                    if not failed:
+                        failed.append(entries)
+                        raise RuntimeError("no good")
+                    answered(entries)
+
+                node.notices.answered = fail
+                assert await client.ask(put("one", cls="unsafe")) == "OK"
+                assert [(await agent.notice())["message"] for _ in range(2)] == ["one", "one"]
+                await until(lambda: not node.journal.entries)
+        assert "no good" in caplog.text
+
+    drive(story())
+
+
 def test_discovery_is_asked_whole_then_watched_and_asked_again_when_silent(tmp_path, monkeypatch):
     monkeypatch.setattr("rainpier.net.platform.WAIT", 0.2)
     monkeypatch.setattr("rainpier.net.platform.SPARE", 0.2)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -158,6 +158,31 @@
     drive(story())
 
 
+def test_a_call_that_outlasts_the_end_of_the_process_counts_as_begun(tmp_path):
+    async def story():
+        loop, never = asyncio.get_running_loop(), asyncio.get_running_loop().create_future()
+        async with HttpPeer(lambda request, body: never) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with Process(tmp_path, agent) as first, Client(first.port) as client:
+                assert await client.ask(put("keyed", cls="keyed", key="7")) == "OK"
+                await receiver.next()
+                await asyncio.sleep(1.0)
+                assert await client.ask(put("unsafe", cls="unsafe")) == "OK"
+                await receiver.next()
+                first.process.send_signal(signal.SIGTERM)
+                begun = loop.time()
+                assert await asyncio.wait_for(first.process.wait(), PATIENCE) == 0
+                assert loop.time() - begun < 3.6
+            assert b"ERROR" not in first.log and b"Traceback" not in first.log
+            never.set_result((200, [], b""))
+            async with Process(tmp_path, agent):
+                assert call_id(await receiver.next()) == "keyed"
+                told = await agent.notice()
+                assert told == {"message": "unsafe", "outcome": "given_up"}
+
+    drive(story())
+
+
 def run(env):
     return subprocess.run([sys.executable, "-B", "-m", "rainpier"], cwd=ROOT, env=os.environ | env, text=True,
                           capture_output=True, check=False, timeout=60)  # fmt: skip
