Log failed attempts and decided ends; say what remains

Traced with the new log lines: at 21.4 s one bulk receiver answered a call of two usage-charge messages with 500 after 69 ms, and at 25.2 s a batch named one more as failed. They may have run and may not be repeated, so they were given up, worth five each. It is the receivers' own error rate; no line here is at fault and nothing is changed.

--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -23,6 +23,7 @@
 RESTART = 0.1  # s before a failed task of the sender is begun again
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
 DOOR_WAIT = 500  # ms after which a client may come again where there is no room at all
+FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 OK = b"+OK\r\n"
 
 
@@ -251,6 +252,7 @@
             route = self.route(call.receiver.listed)
             until = self.loop.time() + ending.wait / 1000
             self.told_until[route] = max(self.told_until.get(route, 0.0), until)
+        self.log_failures(call, ending)
         over, owed = [], []
         for entry, attempt, (outcome, nothing_owed) in zip(
             call.entries, call.attempts, ending.outcomes, strict=True
@@ -265,6 +267,13 @@
             self.journal.over(over)
         self.journal.results(owed)
 
+    def log_failures(self, call: Call, ending: Ending) -> None:
+        """For those who look into an outage; refusals are a destination's daily business."""
+        took = (self.loop.time() - call.started) * 1000
+        for entry, (outcome, _) in zip(call.entries, ending.outcomes, strict=True):
+            if outcome in FAILURES:
+                log.info("%s to %s: %s after %.0f ms", entry.id, call.receiver.host, outcome.name, took)
+
     def expire(self, call: Call, entry: Entry) -> None:
         """A message's own time is up while its call goes on for the others."""
         if call.open and entry.number not in call.settled:
@@ -297,6 +306,7 @@
             self.conclude(entry, GIVEN_UP, 0)
 
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
+        log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
         self.journal.end(entry, end, retry)
         self.notices.add(entry)
 
