Tell evicted messages to come back after a second, not 100 ms

Seen: a message refused because too many are held was told to come back after the base wait of 100 ms (policy.py, finish(): a fresh message's wait is BASE), and one refused at the door after 500 ms; a store that is full empties over seconds. Both are told a second now (EVICT_BACK, DOOR_WAIT).

--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -22,7 +22,7 @@
 SWEEP = 0.1  # s between looks for such messages
 RESTART = 0.1  # s before a failed task of the sender is begun again
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
-DOOR_WAIT = 500  # ms after which a client may come again where there is no room at all
+DOOR_WAIT = 1000  # ms after which a client may come again where there is no room at all
 FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 OK = b"+OK\r\n"
 
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -31,6 +31,7 @@
 STALE = 0.4  # share of a kind's calls reset, above which idle connections are not trusted
 IDLE = 30000.0  # ms after which what was learnt of a route without calls, or of connections, is dropped
 STOP_CALLS = 3.0  # usual calls that must fit before the process ends: most calls take less
+EVICT_BACK = 1000.0  # ms after which one that was evicted may come again: a full store empties over seconds
 EVICT_AT = 0.95  # of the messages that may be held: the least worth is refused from there on
 
 
@@ -262,7 +263,7 @@
         self.hold(event)
         if len(self.live) > max(1.0, EVICT_AT * self.s.max_open):  # guards against losing worthier ones
             held = [m for m in self.live.values() if not m.out and m.risky_at == math.inf]
-            self.finish(min(held, key=lambda m: (m.value(self.now, self.s.late_halves), m.due)))
+            self.finish(min(held, key=lambda m: (m.value(self.now, self.s.late_halves), m.due)), EVICT_BACK)
 
     def hold(self, event: i.Arrival) -> Message:
         cls = self.s.classes[event.cls]
@@ -314,12 +315,12 @@
         if rest := [other for other in self.lines.pop(key, ()) if other != message]:
             self.lines[key] = rest
 
-    def finish(self, message: Message) -> None:
+    def finish(self, message: Message, least: float = 0.0) -> None:
         """Give up: refused where the promise that handing in again is harmless holds, else failed."""
         until = self.repeat_until(message)
         harmless = until == math.inf or message.cls.group == "all" and self.now < until
         told = min((r.wait_until for r in self.routes.get(message.dest, ())), default=0.0)
-        back = max(message.wait, message.not_before - self.now, told - self.now)
+        back = max(least, message.wait, message.not_before - self.now, told - self.now)
         self.acts.append(i.Refuse(message.id, back) if harmless else i.Fail(message.id))
         self.end(message.id, answered=not self.s.ends_answered)
 
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -103,4 +103,4 @@
     assert 1700.0 <= refuse.retry_after < 6000.0
     rig = Rig(endpoints=(), max_open=20)
     told = [a.retry_after for n in range(30) for a in rig.arrive(n) if isinstance(a, i.Refuse)]
-    assert told and all(0 < wait < math.inf for wait in told)
+    assert told and all(1000.0 <= wait < math.inf for wait in told)
