Close idle client connections for room, bound requests in time, take SIGHUP

Cause: Clients.serve counted every open connection against sockets // 2 and turned away all beyond, and nothing ever closed one: 1,264 clients asked once and stayed. For reload: no handler for SIGHUP.

Change: the RESP server is a protocol for each connection, with one timer for all. At the limit the connection that is missed least is closed (no whole request yet after 0.1 s, then without an open one for 2 s, the longest first); a first request, or half of one, has 2.4 s; a connection has 16 requests a turn and 64 unanswered ones, the rest stays in its socket; after an unreadable request comes the error and the close, whatever else waits; fields are checked for range and double names. net/resp.py holds the reading. SIGHUP (reload.py) moves the watch and the notices to the new discovery at once and asks it for the whole list; handlers stand before the configuration is read.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -6,9 +6,11 @@
 import signal
 import sys
 
-from .config import Config, ConfigError, load
+from .config import ConfigError, load
 from .net.clients import Clients
 from .net.node import Node
+from .net.platform import keep
+from .reload import Reload
 
 log = logging.getLogger("rainpier")
 SERVE_ON = 0.45  # s after SIGTERM: new connections come for up to 0.4 s
@@ -16,17 +18,22 @@
 END = 3.2  # s after SIGTERM; SIGKILL comes 3.7 s after it at the soonest
 
 
-async def serve(config: Config) -> None:
-    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+async def serve() -> None:
+    loop, stop, reload = asyncio.get_running_loop(), asyncio.Event(), Reload(os.environ)
+    loop.add_signal_handler(signal.SIGHUP, reload.ask)  # first: unhandled it ends the process
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    config = load(os.environ)
     node = Node(config)
+    reloading = loop.create_task(keep(lambda: reload.run(config, node.platform)))
     await node.start()
     clients = Clients(node.put, config.sockets // 2)
     await clients.listen(config.listen)
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
+    log.info("%d slots, %d descriptors, %d bytes of disk", node.s.slots, config.sockets, config.disk)
     await stop.wait()
     await finish(node, clients, loop.time())
+    reloading.cancel()
 
 
 async def finish(node: Node, clients: Clients, begun: float) -> None:
@@ -46,15 +53,18 @@
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    # Guards the moments before the loop's handlers and after them: SIGHUP must never end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        config = load(os.environ)
-        asyncio.run(serve(config))
+        asyncio.run(serve())
     except ConfigError as error:
         print(f"rainpier: {error}", file=sys.stderr)
         return 2
     except OSError as error:
         print(f"rainpier: {error}", file=sys.stderr)
         return 1
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return 0
 
 
--- a/rainpier/config.py
+++ b/rainpier/config.py
@@ -92,7 +92,7 @@
             raise ConfigError(f"{name} is not set")
     try:
         raw = json.loads(Path(env["EDGE_CONFIG"]).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}") from error
     state = Path(env["EDGE_STATE"])
     if not state.is_dir() or not os.access(state, os.W_OK):
@@ -103,7 +103,7 @@
         return decode(raw, env, state)
     except KeyError as error:
         raise ConfigError(f"EDGE_CONFIG: missing or unknown: {error}") from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}") from error
 
 
--- a/rainpier/net/clients.py
+++ b/rainpier/net/clients.py
@@ -1,186 +1,329 @@
-"""RESP2 server for clients: PING and MSG.PUT."""
+"""RESP2 server for clients: PING and MSG.PUT. Which connections it keeps, and for how long."""
 
 import asyncio
+import errno
 import logging
-import re
 import socket
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Callable
 
 import hiredis
 
+from .resp import BadRequest, Put, error, frame, parse_put, shown
+
 log = logging.getLogger(__name__)
-MAX_BODY = 65536
-MAX_REQUEST = 2 * MAX_BODY  # bytes; what is longer than a body and its fields can be is still answered
-NAME = re.compile(rb"[!-~]{1,128}")  # ids and idempotency keys go into headers and JSON: visible ASCII only
-KEY = re.compile(rb"[0-9a-fA-F]{1,16}")
-ARRAY, BULK = re.compile(rb"\*([1-9]\d?)\r\n"), re.compile(rb"\$(\d{1,6})\r\n")
-HEADER = 10  # bytes that the longest header fits in
-
-
-@dataclass(slots=True)
-class Put:
-    """A message handed in."""
-
-    id: str
-    cls: str
-    destination: int
-    key: int
-    token: str
-    span: float  # ms it may still be delivered
-    body: bytes
-    repeated: bool
-    inherited: bool
-
-
-class BadRequest(Exception):
-    """What is wrong with a request; the text names it."""
-
-
-def shown(value: bytes) -> str:
-    """For an error line: short, and free of line ends."""
-    return ascii(value[:64].decode("latin-1"))
-
-
-def match(pattern: re.Pattern[bytes], value: bytes, name: str) -> str:
-    if not pattern.fullmatch(value):
-        raise BadRequest(f"unreadable {name}: {shown(value)}")
-    return value.decode()
-
-
-def number(fields: dict[bytes, bytes], name: bytes) -> int:
-    value = fields[name]
-    if not value.isdigit() or len(value) > 15:
-        raise BadRequest(f"unreadable field {name.decode()}: {shown(value)}")
-    return int(value)
-
-
-def parse_put(args: list[bytes]) -> Put:
-    if len(args) != 4:
-        raise BadRequest("wrong number of arguments for 'MSG.PUT'")
-    key, name, listed, body = args
-    fields = dict(part.split(b"=", 1) for part in listed.split(b",") if b"=" in part)
-    for needed in (b"c", b"d", b"dest"):
-        if needed not in fields:
-            raise BadRequest(f"missing field {needed.decode()}")
-    if len(body) > MAX_BODY:
-        raise BadRequest(f"body longer than {MAX_BODY} bytes")
-    token = match(NAME, fields[b"k"], "field k") if b"k" in fields else ""
-    return Put(
-        match(NAME, name, "id"), match(NAME, fields[b"c"], "field c"), number(fields, b"dest"),
-        int(match(KEY, key, "key"), 16), token, number(fields, b"d"), body,
-        fields.get(b"r") == b"1", fields.get(b"again") == b"1",
-    )  # fmt: skip
-
-
-def error(text: str) -> bytes:
-    return f"-ERR {text}\r\n".encode("ascii", "replace")
-
-
-def frame(data: bytearray) -> int:
-    """Bytes of the first request, 0 while it is not whole.
-
-    Guards the parser, which makes room for as many elements as are announced: two thousand million
-    held the loop up for seconds and filled the memory.
-    """
-    if not (head := ARRAY.match(data)):
-        return partial(data, 0)
-    at = head.end()
-    for _ in range(int(head[1])):
-        if not (bulk := BULK.match(data, at)):
-            return partial(data, at)
-        at = bulk.end() + int(bulk[1]) + 2
-        if at > MAX_REQUEST:
-            raise hiredis.ProtocolError("request too long")
-        if len(data) >= at and data[at - 2 : at] != b"\r\n":
-            raise hiredis.ProtocolError("a bulk string does not end where it says")
-    return at if at <= len(data) else 0
-
-
-def partial(data: bytearray, at: int) -> int:
-    """No header yet; ProtocolError where none can come of it."""
-    if b"\n" in data[at : at + HEADER] or len(data) - at >= HEADER:
-        raise hiredis.ProtocolError("expected an array of bulk strings")
-    return 0
+READ = 65536  # bytes of one read
+TURN = 16  # requests of one connection in one turn of the loop
+MOST_OPEN = 64  # unanswered requests of one connection; more are not read yet
+REQUEST_TIME = 2.4  # s for the first whole request, and from the first byte of a later one to its last
+IDLE_TIME = 2.0  # s without an open request after which a connection may be closed when room is short
+UNPROVEN_TIME = 0.1  # s the same for one that has sent no whole request yet: clients ask as soon as they come
+CLOSE_TIME = 1.0  # s for the last answer to leave on a connection that is closing
+LOOK = 0.2  # s between looks for connections whose time is up
+ACCEPTS = 32  # new connections in one turn of the loop
+PAUSE = 0.02  # s without new connections while there is no room for them
+SHORT = 0.3  # s without room after which new connections are turned away: a client waits 0.4 s
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+Answer = asyncio.Future[bytes] | bytes
+
+
+class Connection(asyncio.BufferedProtocol):
+    """One client: its requests in the order they come, its answers in the same order."""
+
+    def __init__(self, clients: "Clients") -> None:
+        self.clients, self.loop = clients, clients.loop
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.answers: deque[Answer] = deque()
+        self.since = self.loop.time()  # of the last thing that happened: the connect, a request, an answer
+        self.begun = self.since  # when the first byte of the request that is not whole yet came
+        self.proven = False  # has sent a whole request
+        self.closing = self.paused = self.full = self.due = self.last = False
+
+    # --- the loop's side ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.clients.incoming
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.closing:
+            return
+        if not self.buffer and self.proven:  # what comes in drops before a first request wins no time
+            self.begun = self.loop.time()
+        self.buffer += self.clients.incoming[:nbytes]
+        if not self.due:
+            self.read()
+
+    def eof_received(self) -> bool:
+        """A client that sends no more is still answered; what was taken on stays taken on anyway."""
+        self.last = True
+        return self.due or bool(self.answers)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        self.answers.clear()
+        self.buffer.clear()
+        self.clients.lost(self)
+
+    def pause_writing(self) -> None:
+        self.full = True
+        self.steer()
+
+    def resume_writing(self) -> None:
+        self.full = False
+        self.go_on()
+
+    # --- requests ---
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.answers or self.buffer)
+
+    @property
+    def waited_for(self) -> bool:
+        """The next thing to happen is the rest of its request, or the first one."""
+        return (bool(self.buffer) or not self.proven) and not self.answers and not self.due
+
+    @property
+    def crowded(self) -> bool:
+        """Its answers have to leave before more is read."""
+        return self.full or len(self.answers) >= MOST_OPEN
+
+    def read(self) -> None:
+        """Take up what is whole, in turns: guards the others, and the memory, against hundreds at once."""
+        self.due = False
+        at, turn = 0, TURN
+        try:
+            while turn and not self.crowded and (end := frame(self.buffer, at)):
+                self.clients.parser.feed(bytes(self.buffer[at:end]))
+                at, turn, self.proven = end, turn - 1, True
+                self.answers.append(self.clients.answer(self.clients.parser.gets()))
+        except hiredis.ProtocolError as failure:
+            return self.fail(f"Protocol error: {failure}")
+        if at:
+            del self.buffer[:at]
+            self.since = self.begun = self.loop.time()
+        if not turn and self.buffer:
+            self.due = True
+            self.loop.call_soon(self.read_on)
+        self.flush()
+        self.steer()
+
+    def read_on(self) -> None:
+        if self.due and not self.closing:
+            self.read()
+
+    def go_on(self) -> None:
+        """There is room again: what was left unread in the buffer, then what waits in the socket."""
+        if self.buffer and not self.due and not self.closing:
+            self.due = True
+            self.loop.call_soon(self.read_on)
+        self.steer()
+
+    def steer(self) -> None:
+        """Read ahead no more than a turn's requests: the rest stays in the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        hold = self.due or self.crowded
+        if hold != self.paused:
+            self.paused = hold
+            self.transport.pause_reading() if hold else self.transport.resume_reading()
+
+    # --- answers ---
+
+    def flush(self) -> None:
+        """Write what can be written in order; the first answer that is not decided yet calls again."""
+        ready = []
+        while self.answers:
+            answer = self.answers[0]
+            if isinstance(answer, asyncio.Future):
+                if not answer.done():
+                    answer.add_done_callback(self.decided)
+                    break
+                answer = answer.result()
+            self.answers.popleft()
+            ready.append(answer)
+        if ready and self.transport is not None:
+            self.transport.write(b"".join(ready))
+            self.since = self.loop.time()
+        if self.last and not self.answers and not self.due or self.clients.ended and not self.busy:
+            self.close()
+
+    def decided(self, _: asyncio.Future[bytes]) -> None:
+        if not self.closing:
+            crowded = self.crowded
+            self.flush()
+            if crowded:
+                self.go_on()
+
+    def fail(self, text: str) -> None:
+        """The error and the close at once: answers that are still open would only hold them up."""
+        self.answers.clear()
+        self.buffer.clear()
+        if self.transport is not None:
+            self.transport.write(error(text))
+        self.close()
+
+    def close(self) -> None:
+        """After what is written has left, but not for long."""
+        if not self.closing and self.transport is not None:
+            self.closing, self.since = True, self.loop.time()
+            self.transport.close()
+
+    def look(self, now: float) -> None:
+        """Close what takes too long; see Clients.look."""
+        if self.closing:
+            if now - self.since > CLOSE_TIME and self.transport is not None:
+                self.transport.abort()
+        elif self.full and now - self.since > REQUEST_TIME and self.transport is not None:
+            self.transport.abort()  # does not read its answers
+        elif self.waited_for and now - self.begun > REQUEST_TIME:
+            self.fail("no whole request in time")
 
 
 class Clients:
-    """Listens, reads requests, and writes their answers in order."""
+    """Listens, and keeps the connections inside their number."""
 
-    def __init__(self, put: Callable[[Put], Awaitable[bytes] | bytes], most: int) -> None:
+    def __init__(self, put: Callable[[Put], Answer], most: int) -> None:
         self.put, self.most = put, most
-        self.tasks: set[asyncio.Task] = set()
-        self.server: asyncio.Server | None = None
-        self.closing: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.loop = asyncio.get_running_loop()
+        self.parser = hiredis.Reader()
+        self.incoming = memoryview(bytearray(READ))  # each read is taken up before the next one begins
+        self.connections: set[Connection] = set()
+        self.socket: socket.socket | None = None
+        self.short_since: float | None = None
+        self.ended, self.gone = False, asyncio.Event()
+        self.timers: dict[str, asyncio.TimerHandle] = {}
 
     async def listen(self, address: tuple[str, int]) -> None:
-        self.server = await asyncio.start_server(self.serve, *address, backlog=512)
+        self.socket = socket.create_server(address, family=family(address[0]), backlog=512)
+        self.socket.setblocking(False)
+        self.accept_more()
+        self.look()
 
     @property
     def port(self) -> int:
-        assert self.server is not None
-        return self.server.sockets[0].getsockname()[1]
+        assert self.socket is not None
+        return self.socket.getsockname()[1]
 
     async def close(self, within: float) -> None:
         """Listen no longer; close each connection once nothing on it is unanswered."""
-        if self.server is not None:
-            self.server.close()
-        if not self.closing.done():
-            self.closing.set_result(None)
-        if self.tasks:
-            await asyncio.wait(self.tasks, timeout=within)
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        try:
-            if len(self.tasks) > self.most:  # guards the limit on descriptors
-                writer.write(error("too many connections"))
-                return
-            writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self.talk(reader, writer)
-        except OSError:
-            pass  # the client has gone; what was taken on stays taken on
-        except Exception:
-            log.exception("client connection failed")
-        finally:
-            self.tasks.discard(task)
-            writer.close()
-
-    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser, buffer = hiredis.Reader(), bytearray()
-        while data := await self.read(reader, patient=bool(buffer)):
-            buffer += data
-            answers: list[Awaitable[bytes] | bytes] = []
-            broken = False
+        self.ended = True
+        if self.socket is not None:
+            self.loop.remove_reader(self.socket)
+            self.socket.close()
+            self.socket = None
+        for timer in self.timers.values():
+            timer.cancel()  # the time that closing may take is bounded by itself
+        for connection in list(self.connections):
+            if not connection.busy:
+                connection.close()
+        self.gone.clear()
+        if self.connections:
+            try:
+                await asyncio.wait_for(self.gone.wait(), within)
+            except TimeoutError:
+                for connection in list(self.connections):
+                    connection.close()
+
+    # --- new connections ---
+
+    def accept_more(self) -> None:
+        if self.socket is not None and not self.ended:
+            self.loop.add_reader(self.socket, self.accept)
+
+    def pause(self) -> None:
+        """Let new connections wait in the socket's own queue."""
+        assert self.socket is not None
+        self.loop.remove_reader(self.socket)
+        self.timers["accept"] = self.loop.call_later(PAUSE, self.accept_more)
+
+    def accept(self) -> None:
+        assert self.socket is not None
+        for n in range(ACCEPTS):
+            if len(self.connections) < self.most:
+                self.short_since = None
+            elif n or self.free_one():
+                return  # if more wait, or now that a descriptor comes free: in the next turn of the loop
+            elif not self.must_turn_away():
+                return self.pause()
             try:
-                while size := frame(buffer):
-                    parser.feed(bytes(buffer[:size]))
-                    del buffer[:size]
-                    answers.append(self.answer(parser.gets()))
-            except hiredis.ProtocolError as failure:
-                answers.append(error(f"Protocol error: {failure}"))
-                broken = True
-            for answer in answers:
-                writer.write(answer if isinstance(answer, bytes) else await answer)
-            await writer.drain()
-            if broken:
+                peer, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-
-    async def read(self, reader: asyncio.StreamReader, patient: bool) -> bytes:
-        """The next bytes; none once the other side, or this one between requests, has ended."""
-        reading = asyncio.ensure_future(reader.read(65536))
+            except OSError as failure:
+                if failure.errno in NO_DESCRIPTOR:
+                    self.free_one(anyhow=True)
+                log.warning("accept: %s", failure)
+                return self.pause()
+            self.take(peer) if len(self.connections) < self.most else self.turn_away(peer)
+
+    def must_turn_away(self) -> bool:
+        """Whether there has been no room for so long that who waits is better told."""
+        now = self.loop.time()
+        self.short_since = now if self.short_since is None else self.short_since
+        return now - self.short_since > SHORT
+
+    def free_one(self, anyhow: bool = False) -> bool:
+        """Close the connection that is missed least: guards the clients at work against a silent crowd.
+
+        First those that have sent no whole request yet, then those without an open one; the longest first.
+        """
+        now = self.loop.time()
+        idle_time = 0.0 if anyhow else IDLE_TIME
+        able = [
+            (c.proven, c.since, c)
+            for c in self.connections
+            if not c.closing and not c.answers and not (c.proven and c.buffer)
+            and now - c.since > (idle_time if c.proven else min(idle_time, UNPROVEN_TIME))
+        ]  # fmt: skip
+        if not able:
+            return False
+        proven, _, connection = min(able, key=lambda a: a[:2])
+        connection.close() if proven else connection.fail("no request, and room is short")
+        return True
+
+    def take(self, peer: socket.socket) -> None:
+        peer.setblocking(False)
+        connection = Connection(self)
+        self.connections.add(connection)
+        made = self.loop.create_task(self.loop.connect_accepted_socket(lambda: connection, peer))
+        made.add_done_callback(lambda task: self.made(task, connection))
+
+    def made(self, task: asyncio.Task, connection: Connection) -> None:
+        if task.cancelled() or task.exception() is not None:
+            self.lost(connection)
+
+    def turn_away(self, peer: socket.socket) -> None:
+        peer.setblocking(False)
         try:
-            if not patient:
-                await asyncio.wait({reading, self.closing}, return_when=asyncio.FIRST_COMPLETED)
-                if not reading.done():
-                    return b""
-            return await reading
+            peer.send(error("too many connections"))
+        except OSError:
+            pass
         finally:
-            reading.cancel()
+            peer.close()
+
+    def lost(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        if not self.connections:
+            self.gone.set()
 
-    def answer(self, request: list[bytes]) -> Awaitable[bytes] | bytes:
+    def look(self) -> None:
+        """Guards against connections that say nothing, or half a request, for ever."""
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.look(now)
+        self.timers["look"] = self.loop.call_later(LOOK, self.look)
+
+    # --- requests ---
+
+    def answer(self, request: list[bytes]) -> Answer:
         name, *args = request
         try:
             if name.upper() == b"PING":
@@ -189,6 +332,9 @@
                 return self.put(parse_put(args))
         except BadRequest as failure:
             return error(str(failure))
+        except Exception:
+            log.exception("a request failed")
+            return error("internal error")
         return error(f"unknown command {shown(name)}")
 
     @staticmethod
@@ -196,3 +342,7 @@
         if len(args) > 1:
             raise BadRequest("wrong number of arguments for 'PING'")
         return b"$%d\r\n%s\r\n" % (len(args[0]), args[0]) if args else b"+PONG\r\n"
+
+
+def family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -4,24 +4,24 @@
 import logging
 import math
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from .. import interface as i
 from ..config import Config, ConfigError, address
 from ..policy import Sender
-from .clients import Put, error
 from .journal import Entry, Journal
-from .platform import Discovery, Host, Notices, read_hosts
+from .platform import Host, Platform, keep, read_hosts
 from .receivers import Call, Ending, Receivers, batches
+from .resp import Put, error
 
 log = logging.getLogger(__name__)
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
 SWEEP = 0.1  # s between looks for such messages
-RESTART = 0.1  # s before a failed task of the sender is begun again
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
+SPANS = 2  # times its class's deadline that a message may ask for at most
 DOOR_WAIT = 1000  # ms after which a client may come again where there is no room at all
 FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 OK = b"+OK\r\n"
@@ -47,8 +47,7 @@
         self.kinds = {kind.name: number for number, kind in enumerate(self.s.kinds)}
         self.journal = Journal(config.state, config.disk, self.now)
         self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.sockets // 4)
-        self.discovery = Discovery(config.discovery, self.on_list)
-        self.notices = Notices(config.discovery, self.on_answered)
+        self.platform = Platform(config.discovery, self.on_list, self.on_answered)
         self.events: list[i.Event] = []
         self.intake: dict[int, Intake] = {}  # by number, until the next round
         self.names: dict[str, Intake] = {}  # the same by id
@@ -71,19 +70,19 @@
         """Take up the list and what an earlier process left."""
         if self.config.known:
             self.on_list(i.ListKind.CACHED, read_hosts(self.config.known))
-        for run in (self.discovery.run, self.notices.run, self.sweep):
-            self.tasks.append(self.loop.create_task(self.keep(run)))
+        self.platform.start()
+        self.tasks.append(self.loop.create_task(keep(self.sweep)))
         # Guards against sending what was left to a receiver that drained meanwhile.
         if self.journal.entries:
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.discovery.whole.wait(), FIRST_LIST)
+                await asyncio.wait_for(self.platform.discovery.whole.wait(), FIRST_LIST)
         for entry in list(self.journal.entries.values()):
             self.resume(entry)
 
     def resume(self, entry: Entry) -> None:
         cls = self.classes.get(entry.cls)
         if entry.end:
-            self.notices.add(entry)
+            self.platform.notices.add(entry)
         elif cls is None:
             log.error("message %s is of a class that is no longer known: %s", entry.id, entry.cls)
             self.conclude(entry, GIVEN_UP, 0)
@@ -98,16 +97,6 @@
             i.Resumed(arrival, entry.attempts, risky_at, entry.risky_zone, interrupted, ended=bool(entry.end))
         )
 
-    @staticmethod
-    async def keep(run: Callable[[], Awaitable[None]]) -> None:
-        """Guards against the silent end of a task that all messages depend on."""
-        while True:
-            try:
-                await run()
-            except Exception:
-                log.exception("a task of the sender failed, and is begun again")
-                await asyncio.sleep(RESTART)
-
     def stopping(self, at: float) -> None:
         """The process will end at that loop time."""
         self.push(i.Stopping(at * 1000 + self.epoch))
@@ -115,12 +104,13 @@
     @property
     def busy(self) -> bool:
         """Calls are out, or notices unanswered."""
-        return bool(self.out or self.notices.waiting)
+        return bool(self.out or self.platform.notices.waiting)
 
     def close(self) -> None:
         """What is still out stays in the journal as begun, for the next process: it may have run."""
         for task in self.tasks:
             task.cancel()
+        self.platform.close()
         if self.next_round is not None:
             self.next_round.cancel()
         self.receivers.close()
@@ -206,12 +196,15 @@
 
     # --- intake ---
 
-    def put(self, put: Put) -> Awaitable[bytes] | bytes:
+    def put(self, put: Put) -> asyncio.Future[bytes] | bytes:
         """A client hands in a message."""
         if put.cls not in self.classes:
             return error(f"unknown class {put.cls}")
         if put.destination not in self.destinations:
             return error(f"unknown destination {put.destination}")
+        cls = self.classes[put.cls]
+        if put.span > SPANS * self.s.classes[cls].deadline:
+            return error(f"field d out of range: {put.span}")
         if put.id in self.names:
             return self.names[put.id].answer
         if self.journal.knows(put.id, self.now):  # guards against taking on twice what came twice
@@ -219,7 +212,6 @@
         held = len(self.journal.entries) + len(self.intake)
         if held >= self.s.max_open or not self.journal.room(put.body):
             return b"-BUSY %d\r\n" % DOOR_WAIT
-        cls = self.classes[put.cls]
         number, self.journal.next = self.journal.next, self.journal.next + 1
         key = put.key if self.s.classes[cls].in_order else 0
         deadline = self.now + put.span
@@ -308,7 +300,7 @@
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
         log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
         self.journal.end(entry, end, retry)
-        self.notices.add(entry)
+        self.platform.notices.add(entry)
 
     def on_answered(self, entries: list[Entry]) -> None:
         self.journal.over(entries)
--- a/rainpier/net/platform.py
+++ b/rainpier/net/platform.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from ..interface import Condition, ListKind
@@ -18,6 +18,7 @@
 PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
 NOTICE_TIMEOUT = 0.5  # s; notices are answered at once
 NOTICE_PAUSES = (0.02, 0.05, 0.1, 0.2, 0.5)  # s between tries of the same notices
+RESTART = 0.1  # s before a failed task is begun again
 MOST_NOTICES = 200  # in one request, whose body holds 64 KiB
 
 
@@ -133,3 +134,49 @@
     def notice(entry: Entry) -> dict[str, object]:
         told: dict[str, object] = {"message": entry.id, "outcome": entry.end}
         return told | ({"retry_in_ms": entry.retry} if entry.end == "handed_back" else {})
+
+
+async def keep(run: Callable[[], Awaitable[None]]) -> None:
+    """Guards against the silent end of a task that all messages depend on."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            log.exception("a task of the sender failed, and is begun again")
+            await asyncio.sleep(RESTART)
+
+
+class Platform:
+    """The watch and the notices at one address, which may change while they run."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        told: Callable[[ListKind, list[Host]], None],
+        answered: Callable[[list[Entry]], None],
+    ) -> None:
+        self.address = address
+        self.discovery, self.notices = Discovery(address, told), Notices(address, answered)
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(keep(run)) for run in (self.discovery.run, self.notices.run)]
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for client in (self.discovery.client, self.notices.client):
+            client.drop()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, at once.
+
+        The hanging watch and notices that are out are cut off: the old address may never answer again.
+        Version numbers mean nothing at the new one, so the whole list is asked for; what notices are
+        unanswered is told once more, which does no harm.
+        """
+        self.close()
+        self.address, self.discovery.seq = address, None
+        self.discovery.client, self.notices.client = Client(address), Client(address)
+        self.start()
--- /dev/null
+++ b/rainpier/reload.py
@@ -0,0 +1,46 @@
+"""SIGHUP: the configuration is read again, and what can change while the process runs is taken over."""
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from dataclasses import fields
+
+from .config import Config, ConfigError, load
+from .net.platform import Platform
+
+log = logging.getLogger(__name__)
+TAKEN_OVER = ("discovery",)
+OF_A_START = ("seed", "known")  # mean something at a start alone
+
+
+class Reload:
+    """Reads the configuration whenever it is asked to. One that can't be used changes nothing."""
+
+    def __init__(self, env: Mapping[str, str]) -> None:
+        self.env, self.asked = env, asyncio.Event()
+
+    def ask(self) -> None:
+        """From a signal, at any time: also before there is anything to change, and several at once."""
+        self.asked.set()
+
+    async def run(self, config: Config, platform: Platform) -> None:
+        while True:
+            await self.asked.wait()
+            self.asked.clear()
+            config = self.apply(config, platform)
+
+    def apply(self, old: Config, platform: Platform) -> Config:
+        """The configuration that is in force from now on."""
+        try:
+            new = load(self.env)
+        except ConfigError as error:
+            log.error("configuration not taken over, going on with the old one: %s", error)
+            return old
+        differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
+        later = [name for name in differ if name not in TAKEN_OVER + OF_A_START]
+        if later:
+            log.warning("configuration: takes effect at the next start only: %s", ", ".join(later))
+        if new.discovery != platform.address:
+            platform.move(new.discovery)
+        log.info("configuration read again: discovery at %s:%d", *new.discovery)
+        return new
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -52,6 +52,14 @@
     (command("MSG.PUT", "0", "id\r\nX: y", "c=safe,d=10,dest=3", "b"), "id"),
     (command("MSG.PUT", "0", "id", "c=safe,d=10,dest=3,k=a b", "b"), "k"),
     (command("MSG.PUT", "0", "id", "c=safe,d=10,dest=3", b"b" * 65537), "body"),
+    (command("MSG.PUT", "0", "", "c=safe,d=10,dest=3", "b"), "id"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=0,dest=3", "b"), "d out of range"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=999999999999,dest=3", "b"), "d out of range"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=10,dest=99999999999", "b"), "dest out of range"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=nan,dest=3", "b"), "d"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=10,d=20,dest=3", "b"), "twice"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=10,dest=3,r=2", "b"), "r"),
+    (command("MSG.PUT", "0", "id", "c=safe,d=10,dest=3,,", "b"), "unreadable field"),
 ])  # fmt: skip
 def test_what_is_wrong_is_named_and_the_connection_lives(data, named):
     async def story():
@@ -134,3 +142,145 @@
                 assert await second.answer() is None
 
     drive(story())
+
+
+def test_connections_that_asked_once_and_stayed_make_room_for_new_clients(monkeypatch):
+    """They filled all descriptors that clients may have, and everybody else was turned away."""
+    monkeypatch.setattr("rainpier.net.clients.IDLE_TIME", 0.1)
+
+    async def story():
+        async with serving(most=3) as (clients, _), contextlib.AsyncExitStack() as stack:
+            stayed = [await stack.enter_async_context(Client(clients.port)) for _ in range(3)]
+            for client in stayed:
+                assert await client.ask(command("PING")) == "PONG"
+            await asyncio.sleep(0.2)
+            assert await stayed[0].ask(command("PING")) == "PONG"
+            async with Client(clients.port) as newcomer:
+                assert await newcomer.ask(command("PING")) == "PONG"
+            assert await stayed[1].answer() is None  # the one that stood idle the longest
+            assert await stayed[0].ask(command("PING")) == "PONG"
+
+    drive(story())
+
+
+def test_a_connection_with_an_open_request_is_not_closed_for_room(monkeypatch):
+    monkeypatch.setattr("rainpier.net.clients.IDLE_TIME", 0.0)
+
+    async def story():
+        answer = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: answer, most=2) as (clients, taken), contextlib.AsyncExitStack() as stack:
+            waiting, idle = [await stack.enter_async_context(Client(clients.port)) for _ in range(2)]
+            waiting.writer.write(put("a"))
+            assert await idle.ask(command("PING")) == "PONG"
+            await until(lambda: taken)
+            async with Client(clients.port) as newcomer:
+                assert await newcomer.ask(command("PING")) == "PONG"
+            assert await idle.answer() is None
+            answer.set_result(b"+OK\r\n")
+            assert await waiting.answer() == "OK"
+
+    drive(story())
+
+
+def test_a_silent_crowd_does_not_keep_clients_out():
+    async def story():
+        async with serving(most=20) as (clients, _), contextlib.AsyncExitStack() as stack:
+            crowd = [await stack.enter_async_context(Client(clients.port)) for _ in range(100)]
+            async with Client(clients.port) as client:
+                assert await client.ask(command("PING")) == "PONG"
+            assert len(clients.connections) <= 20
+            for silent in crowd:  # each is told or closed in time
+                with contextlib.suppress(ConnectionError):
+                    answer = await silent.answer()
+                    assert answer is None or answer.startswith("-ERR")
+
+    drive(story())
+
+
+@pytest.mark.parametrize("before", [b"", command("PING")])
+def test_half_a_request_is_not_waited_for_for_ever(monkeypatch, before):
+    monkeypatch.setattr("rainpier.net.clients.REQUEST_TIME", 0.3)
+
+    async def story():
+        async with serving() as (clients, taken), Client(clients.port) as client:
+            client.writer.write(before + put("a")[:30])
+            if before:
+                assert await client.answer() == "PONG"
+            assert "in time" in await client.answer()
+            assert await client.answer() is None and not taken
+
+    drive(story())
+
+
+def test_bytes_that_drip_in_win_no_time(monkeypatch):
+    monkeypatch.setattr("rainpier.net.clients.REQUEST_TIME", 0.5)
+
+    async def story():
+        async with serving() as (clients, taken), Client(clients.port) as client:
+            answer = asyncio.ensure_future(client.answer())
+            for byte in put("a", body=b"x" * 1000):
+                if answer.done():
+                    break
+                client.writer.write(bytes([byte]))
+                await asyncio.sleep(0.02)
+            assert "in time" in await answer and not taken
+
+    drive(story())
+
+
+def test_an_unreadable_request_ends_the_connection_whatever_else_waits():
+    async def story():
+        never = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: never) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("a"))
+            await until(lambda: taken)
+            client.writer.write(b"noise\r\n")
+            assert "Protocol error" in await client.answer()
+            assert await client.answer() is None
+
+    drive(story())
+
+
+def test_a_flood_on_one_connection_leaves_turns_to_others_and_is_read_as_far_as_it_is_answered():
+    async def story():
+        never = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: never) as (clients, taken), Client(clients.port) as flood:
+            flood.writer.write(b"".join(put(f"m{n}", body=b"x" * 1000) for n in range(2000)))
+            await until(lambda: len(taken) == 64)
+            async with Client(clients.port) as client:
+                assert await client.ask(command("PING")) == "PONG"
+            assert len(taken) == 64
+            (connection,) = (c for c in clients.connections if c.answers)
+            assert len(connection.buffer) <= 2 * 65536
+            never.set_result(b"+OK\r\n")
+            assert [await flood.answer() for _ in range(2000)] == ["OK"] * 2000
+
+    drive(story())
+
+
+def test_a_client_that_sends_no_more_is_still_answered():
+    async def story():
+        answer = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: answer) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("a"))
+            client.writer.write_eof()
+            await until(lambda: taken)
+            await asyncio.sleep(0.05)
+            answer.set_result(b"+OK\r\n")
+            assert await client.answer() == "OK" and await client.answer() is None
+
+    drive(story())
+
+
+def test_nothing_is_left_of_thousands_of_connections():
+    async def story():
+        async with serving(most=50) as (clients, _):
+            for n in range(2000):
+                async with Client(clients.port) as client:
+                    if n % 2:
+                        assert await client.ask(command("PING")) == "PONG"
+                    client.writer.transport.abort()
+            await until(lambda: not clients.connections)
+            assert len(clients.timers) <= 2
+
+    drive(story())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -116,7 +116,7 @@
                 assert await client.ask(put("two", **line)) == "OK"
                 await receiver.next()
                 answers["one"].set_result((503, [], b""))
-                await until(lambda: node.notices.waiting)
+                await until(lambda: node.platform.notices.waiting)
                 await asyncio.sleep(0.3)
                 assert receiver.requests.empty()
                 agent.refuse_notices = 0
@@ -239,7 +239,7 @@
         async with HttpPeer(lambda request, body: (500, [], b"")) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
-                answered, failed = node.notices.answered, []
+                answered, failed = node.platform.notices.answered, []
 
                 def fail(entries):
                     if not failed:
@@ -247,7 +247,7 @@
                         raise RuntimeError("no good")
                     answered(entries)
 
-                node.notices.answered = fail
+                node.platform.notices.answered = fail
                 assert await client.ask(put("one", cls="unsafe")) == "OK"
                 assert [(await agent.notice())["message"] for _ in range(2)] == ["one", "one"]
                 await until(lambda: not node.journal.entries)
@@ -295,7 +295,7 @@
 
             agent.answer = answer
             async with sender(tmp_path, agent) as node:
-                await until(lambda: node.discovery.whole.is_set())
-                assert node.discovery.seq is not None
+                await until(lambda: node.platform.discovery.whole.is_set())
+                assert node.platform.discovery.seq is not None
 
     drive(story())
