--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -25,6 +25,7 @@
 CUT = 0.8  # of the pace is kept after a refusal above the limit
 RAISE = 0.04  # growth of the pace a second, for each second without a refusal: slow near a limit, then bolder
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
+ALIVE = 300.0  # ms after a success in which failures make no outage: a real one lets nothing through
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
 RAMP_MARGIN = 0.9  # of what the rule on returning destinations would allow this sender by its own rate
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
@@ -87,6 +88,7 @@
         self.fails, self.fulls, self.first_full = 0, 0, 0.0  # in a row
         self.failing, self.risk = 0.0, 0.0  # share of recent calls that failed; that failed and may have run
         self.trial_wait, self.trial_at, self.cold_at = BASE, 0.0, -math.inf  # cold_at: last sign of an outage
+        self.ok_at = -math.inf  # last success
 
     @property
     def down(self) -> bool:
@@ -156,7 +158,7 @@
             self.base = max(self.base * 0.99, sure * (1 - self.failing))
         if self.fulls:  # among many senders a call that passes says more than the refusals before it
             self.pace /= CUT ** (min(FAILS, self.spread) - 1)
-        self.fails, self.fulls, self.trial_wait = 0, 0, BASE
+        self.fails, self.fulls, self.trial_wait, self.ok_at = 0, 0, BASE, now
         self.failing, self.risk = self.failing * (1 - GAIN), self.risk * (1 - GAIN)
         self.latency += GAIN * (relative - self.latency) if self.latency else relative
         self.best = min(self.latency, (self.best or self.latency) * (1 + BEST_AGEING))
@@ -187,14 +189,20 @@
     def on_fail(self, now: float, outcome: Outcome) -> None:
         """A failure: narrow, and count towards an outage."""
         enough = outcome is Outcome.CONNECT_FAILED and self.sparse > 0.5  # all that one of many may see
-        self.fails = FAILS if enough else self.fails + 1
+        # Guards against outages seen where a share of calls breaks, or where slow ones are called off.
+        alive = now - self.ok_at < ALIVE and outcome is not Outcome.FULL
+        self.fails = FAILS if enough else min(self.fails + 1, FAILS - 1) if alive else self.fails + 1
         self.failing += GAIN * (1 - self.failing)
         self.risk += 0.0 if outcome.never_ran else GAIN * (1 - self.risk)
-        self.window = max(1.0, min(self.window - 1, self.s.slots / 2))
+        self.narrow()
         self.trial_at = now + self.trial_wait
-        if self.down or self.failing > SICK_SHARE or self.is_cold(now) and self.fails > 1:
+        sick = self.failing > SICK_SHARE or self.is_cold(now) and self.fails > 1
+        if self.down or sick and not alive:
             self.cold_at = now
 
+    def narrow(self) -> None:
+        self.window = max(1.0, min(self.window - 1, self.s.slots / 2))
+
 
 class Sender:
     """One sender. Feed it each round's events; carry out the actions it returns, in order."""
@@ -422,6 +430,9 @@
             route.on_ok(self.now, relative, self.refusals[kind])
         elif event.outcome is Outcome.FULL:
             route.on_full(self.now, event.wait, self.refusals[kind])
+        elif event.outcome is Outcome.CANCELLED and call.sent < route.ok_at:
+            endpoint.fails += 1
+            route.narrow()  # slow, but others were answered meanwhile
         else:
             endpoint.fails += 1  # guards against one endpoint down among siblings: it is taken last
             route.on_fail(self.now, event.outcome)
