See an outage only where nothing succeeds; judge kept against new connections

Cause: three failures in a row made an outage at any rate of calls, a call called off for want of slots counted as one, and resets of fresh connections were held against kept ones for 30 s at a time.

A failed batch is one log line, which tells the use of its connection.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -151,6 +151,7 @@
     closed: bool = False  # nothing more is owed for the message
     wait: float = 0.0  # told to wait so long
     report: tuple[float, ...] = ()
+    fresh: bool = False  # its connection was new, so how it ended says nothing of kept ones
 
 
 @dataclass(slots=True, frozen=True)
--- a/rainpier/net/http.py
+++ b/rainpier/net/http.py
@@ -130,6 +130,7 @@
         self.closed = self.ended = False
         self.lost: Callable[[Connection], None] | None = None  # told while it is parked
         self.parked_at = 0.0
+        self.uses = 0  # exchanges begun
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> "Connection":
@@ -196,6 +197,7 @@
         """Returns when the last byte was written; raises when it was not. An answer has `most` bytes."""
         assert self.transport is not None
         self.exchange, self.written = Exchange(most, rest), None
+        self.uses += 1
         self.transport.write(data)
         if self.written is not None:
             await self.written
--- a/rainpier/net/node.py
+++ b/rainpier/net/node.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import time
+from collections import Counter
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
@@ -278,9 +279,12 @@
     def log_failures(self, call: Call, ending: Ending) -> None:
         """For those who look into an outage; refusals are a destination's daily business."""
         took = (self.loop.time() - call.started) * 1000
-        for entry, (outcome, _) in zip(call.entries, ending.outcomes, strict=True):
-            if outcome in FAILURES:
-                log.info("%s to %s: %s after %.0f ms", entry.id, call.receiver.host, outcome.name, took)
+        failed = Counter(outcome for outcome, _ in ending.outcomes if outcome in FAILURES)
+        for outcome, count in failed.items():  # one line for a batch: an outage fails hundreds a second
+            log.info(
+                "%s and %d more to %s: %s after %.0f ms, use %d of its connection",
+                call.entries[0].id, count - 1, call.receiver.host, outcome.name, took, call.uses,
+            )  # fmt: skip
 
     def expire(self, call: Call, entry: Entry) -> None:
         """A message's own time is up while its call goes on for the others."""
@@ -298,9 +302,8 @@
         self.out.pop(entry.number, None)
         elapsed = (self.loop.time() - call.started) * 1000
         endpoint = call.receiver.listed.endpoint
-        self.push(
-            i.Result(entry.number, attempt, endpoint, outcome, elapsed, closed, ending.wait, ending.report)
-        )
+        fresh, wait, report = call.uses == 1, ending.wait, ending.report
+        self.push(i.Result(entry.number, attempt, endpoint, outcome, elapsed, closed, wait, report, fresh))
 
     # --- ends ---
 
--- a/rainpier/net/receivers.py
+++ b/rainpier/net/receivers.py
@@ -55,6 +55,7 @@
     task: asyncio.Task | None = None
     written: bool = False
     open: bool = True
+    uses: int = 0  # of the connection that it travels on, this one included
 
 
 @dataclass(slots=True)
@@ -188,6 +189,7 @@
             async with asyncio.timeout_at(call.until):
                 connection = await self.connect(call.receiver)
                 if self.may_write(call):
+                    call.uses = connection.uses + 1
                     await connection.send(self.request(call), self.most_answer(call))
                     call.written = True
                     ending = read_ending(call, await connection.answer(), self.s.report_fields)
@@ -224,7 +226,8 @@
         """Whether the last byte was written decides whether it may have run; a head of 200, that it has."""
         # Guards against machines that vanished: what is written on their old connections may have run for all
         # that is known, while a new one that does not come up proves that it never did.
-        self.close_idle(call.receiver)
+        if outcome is not Outcome.RESET or call.uses != 1:  # a new one's end says nothing of others
+            self.close_idle(call.receiver)
         if not call.written:
             return self.all(call, Outcome.CONNECT_FAILED)
         return self.all(call, Outcome.OK if self.delivered(call, connection) else outcome)
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -25,11 +25,12 @@
 CUT = 0.8  # of the pace is kept after a refusal above the limit
 RAISE = 0.04  # growth of the pace a second, for each second without a refusal: slow near a limit, then bolder
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
-ALIVE = 300.0  # ms after a success in which failures make no outage: a real one lets nothing through
+ALIVE = 1000.0  # ms after a success in which failures make no outage: a real one lets nothing through
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
 RAMP_MARGIN = 0.9  # of what the rule on returning destinations would allow this sender by its own rate
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
-STALE = 0.4  # share of a kind's calls reset, above which idle connections are not trusted
+STALE = 0.4  # share of a kind's calls reset on kept connections, above which idle connections are not trusted
+WORN = 10000.0  # ms for which they are not; then they are tried again
 IDLE = 30000.0  # ms after which what was learnt of a route without calls, or of connections, is dropped
 STOP_CALLS = 3.0  # usual calls that must fit before the process ends: most calls take less
 EVICT_BACK = 1000.0  # ms after which one that was evicted may come again: a full store empties over seconds
@@ -219,7 +220,7 @@
         self.usual = {cls: None for cls in settings.classes}  # ms; mean of a call by class
         self.quota = [(0.0, 0.0)] * len(settings.tenants)
         kinds = [0.0] * len(settings.kinds)  # by kind: shares of recent calls; no idle connection until
-        self.refusals, self.resets, self.stale = kinds[:], kinds[:], kinds[:]
+        self.refusals, self.resets, self.fresh_resets, self.stale = kinds[:], kinds[:], kinds[:], kinds[:]
         self.free, self.deadlines = settings.slots, list[tuple[float, int]]()
         self.now, self.wake, self.timer_at, self.acts = 0.0, math.inf, math.inf, []
         self.watching, self.ask_at, self.ask_wait = not settings.must_ask, 0.0, BASE
@@ -410,11 +411,14 @@
         endpoint, route, message = call.endpoint, call.endpoint.route, self.live.get(event.message)
         was, kind = route.down, endpoint.info.kind
         self.refusals[kind] += GAIN * ((event.outcome is Outcome.FULL) - self.refusals[kind])
-        self.resets[kind] += GAIN * ((event.outcome is Outcome.RESET) - self.resets[kind])
+        resets, reset = self.fresh_resets if event.fresh else self.resets, event.outcome is Outcome.RESET
+        resets[kind] += GAIN * (reset - resets[kind])
         crowded = event.outcome is Outcome.CONNECT_FAILED and route.sparse and self.refusals[kind] < RIFE / 2
-        if crowded or self.resets[kind] > STALE:
-            # Guards against kept connections: many senders' fill a table, or something between drops them.
-            self.stale[kind] = self.now + IDLE
+        # Guards against kept connections: many senders' fill a table, or something between drops them. Not
+        # where new ones fare no better: each call would then pay for a new one, and gain nothing.
+        worn = reset and not event.fresh and self.resets[kind] > max(STALE, 2 * self.fresh_resets[kind])
+        if crowded or worn:
+            self.stale[kind] = max(self.stale[kind], self.now + (IDLE if crowded else WORN))
         if self.now < self.stale[kind]:
             self.acts.append(i.CloseIdle(endpoint.info.endpoint))
         if was or route.sparse:  # space the next trial by chance, so that senders do not come in step
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -224,6 +224,29 @@
     drive(story())
 
 
+def test_a_reset_on_a_new_connection_leaves_the_kept_ones():
+    async def story():
+        gate = asyncio.get_running_loop().create_future()
+        answers = {b"good": (200, [], b""), b"break": None, b"slow": gate}
+        async with HttpPeer(lambda request, body: answers[body]) as peer:
+            bench = Bench(peer.port)
+            slow = bench.start("a", body=b"slow")
+            await until(lambda: slow.written)
+            assert outcomes(await bench.call("b", body=b"good")) == [O.OK]
+            (kept,) = bench.receiver.idle
+            bench.receiver.idle.clear()  # so that the next call opens a new one
+            call = bench.start("c", body=b"break")
+            await until(lambda: call.uses)
+            bench.receiver.idle.append(kept)
+            assert outcomes(await bench.ended.get()) == [O.RESET] and bench.receiver.idle == [kept]
+            gate.set_result((200, [], b""))
+            assert outcomes(await bench.ended.get()) == [O.OK]
+            assert outcomes(await bench.call("d", body=b"break")) == [O.RESET]  # on a kept one
+            assert not bench.receiver.idle and peer.accepted == 3
+
+    drive(story())
+
+
 def test_a_batch_holds_no_more_than_a_body_may():
     sent = entries(*"abcdefgh")
     for entry in sent[2:6]:
