Let the pace return in seconds where a limit was low for a while

From 15 to 25 s they refuse nothing, while hundreds are held: the pace is what holds them (destination 8: 0.65 calls a second of a listed share of 6, 0: 1.5 of 11.5, 3: 0.9 of 4.25). It comes back at 4 % a second for each second without a refusal, so takes seven seconds for a factor of three.

Lines at fault: Route.on_ok, the growth of `pace` (RAISE, and 2 * sent).

Ruled out by the same lines: slots and flight (they agree with the open calls), CPU, connections, the door (no client refused there: all refusals are messages given up at their deadline or evicted), waits (parsed and ended right), siblings of a refusing receiver (limits are the destination's; the siblings refuse in the same span).

Change: while the pace is under half of the least that the list vouches for as this sender's share, it returns there within 2 s of the last refusal; not after an outage.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -24,6 +24,8 @@
 FLEET = 4  # senders up to which each may act as if alone; beyond, floors fall with the root of their number
 CUT = 0.8  # of the pace is kept after a refusal above the limit
 RAISE = 0.04  # growth of the pace a second, for each second without a refusal: slow near a limit, then bolder
+RETURN = 2000.0  # ms from the last refusal in which the pace is back at:
+VOUCHED = 0.5  # of the least that the list says is this sender's share; ordinary limits do not lie below it
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
 ALIVE = 1000.0  # ms after a success in which failures make no outage: a real one lets nothing through
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
@@ -119,6 +121,11 @@
         self.sent = (self.sent * self.known * fade + calls * 1000 / span) / known
         self.known = known  # share of the memory that is filled: a fresh start must not look like a slow one
 
+    @property
+    def vouched(self) -> float:
+        """Calls a second of this sender's share, as far as the list can be trusted; 0: none listed."""
+        return self.listed / (LISTED_DOUBT if self.s.rates_rough else 1)
+
     @property
     def limit(self) -> float:
         """Calls a second that refusals and a listed rate leave."""
@@ -129,7 +136,7 @@
         # Guards the return from an outage: what each may send adds up to no more than the rule's multiple.
         warm = 0.0 if self.down else (now - self.cold_at) / self.s.cold
         share = self.s.cold_from + (1 - self.s.cold_from) * warm
-        own = max(self.base, self.listed / (LISTED_DOUBT if self.s.rates_rough else 1))
+        own = max(self.base, self.vouched)
         least = self.floor / self.spread if self.listed else self.floor
         return max(own * self.s.overload_factor * share * RAMP_MARGIN, least)
 
@@ -166,12 +173,21 @@
         near = self.latency <= NEAR * self.best
         most, step = (self.s.slots * 3 // 4, 1.0) if near else (self.s.slots / 2, -1.0)
         self.window = max(1.0, min(self.window + step / self.window, most))
-        grown = max(0.0, now - self.cut_at) ** 2 - max(0.0, self.raised_at - self.cut_at) ** 2
-        self.pace = max(self.pace, min(self.pace * math.exp(min(1.0, RAISE * grown / 2e6)), 2 * self.sent))
-        self.raised_at = now
+        self.raise_pace(now)
         soft = 1.0 if common * self.sparse >= RIFE else 1 - self.sparse * (1 - common)
         self.next_at = min(self.next_at, now + (1000 / self.limit + BURST) * soft)  # refused no longer
 
+    def raise_pace(self, now: float) -> None:
+        """A success: far below this sender's share evenly and in seconds; else slowly, then bolder."""
+        grown = max(0.0, now - self.cut_at) ** 2 - max(0.0, self.raised_at - self.cut_at) ** 2
+        grown = min(self.pace * math.exp(min(1.0, RAISE * grown / 2e6)), 2 * self.sent)
+        # Guards against a pace that stays low when a limit is back: one that was cut for a while, or spent by
+        # another sender's burst, a batch job or a restart. Costs some refused calls where a limit stays low,
+        # so does harm where each of them uses up the little that there is. Not after an outage: see ramp.
+        span = 0.0 if self.is_cold(now) else max(0.0, now - max(self.cut_at, self.raised_at))
+        back = min(self.pace + VOUCHED * self.vouched * span / RETURN, VOUCHED * self.vouched)
+        self.pace, self.raised_at = max(self.pace, grown, back), now
+
     def on_full(self, now: float, wait: float, common: float) -> None:
         """A refusal: cut the pace once a span, or take it as a sign of an outage."""
         self.first_full, self.fulls = self.first_full if self.fulls else now, self.fulls + 1
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -161,9 +161,9 @@
         return await asyncio.wait_for(self.notices.get(), PATIENCE)
 
 
-def host(name, dial, block=3, kind="single", health="SERVING", site="a"):
+def host(name, dial, block=3, kind="single", health="SERVING", site="a", share=1.0):
     return {"host": name, "dial": dial, "site": site, "class": kind, "block": block, "health": health,
-            "share": 1.0, "born_ms": 0}  # fmt: skip
+            "share": share, "born_ms": 0}  # fmt: skip
 
 
 def config(folder, agent, hosts=(), listen=("127.0.0.1", 0), **settings):
@@ -171,7 +171,7 @@
     from rainpier.config import settings as decode
 
     return Config("n0", listen, ("127.0.0.1", agent.port), folder, 7, 1024, 3_000_000, decode(raw),
-                  tuple(raw["zones"]), False, {"seq": 1, "whole": True, "hosts": list(hosts)})  # fmt: skip
+                  tuple(raw["zones"]), raw["weights"] != "off", {"seq": 1, "whole": True, "hosts": list(hosts)})  # fmt: skip
 
 
 def command(*parts):
