Let endpoints that failed be tried again after some seconds

All its calls go to one endpoint of three, which answers ten times slower than usual and so narrows the window to one; its siblings stand idle for 18 s, since their last call, at 10 s, failed.

Lines at fault: Endpoint.fails never ages, and Sender.choose takes the fewest.

Change: an endpoint that failed comes after its siblings for a second and twice what the failed call took, times its failures in a row; then it counts as any, for one call, made of what may be repeated first.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -28,6 +28,7 @@
 VOUCHED = 0.5  # of the least that the list says is this sender's share; ordinary limits do not lie below it
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
 ALIVE = 1000.0  # ms after a success in which failures make no outage: a real one lets nothing through
+SHUN = 1000.0  # ms for each failure in a row, up to the cap, for which an endpoint comes after its siblings
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
 RAMP_MARGIN = 0.9  # of what the rule on returning destinations would allow this sender by its own rate
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
@@ -63,6 +64,17 @@
         self.info, self.route, self.flight, self.fails = info, route, 0, 0  # fails: in a row
         self.order = order  # by chance, so that senders do not all take the same one of equals
         self.warm = -math.inf  # when a connection was last used
+        self.shun_until = -math.inf
+
+    def on_fail(self, now: float, took: float) -> None:
+        self.fails += 1
+        self.shun_until = now + self.fails * min(CAP, SHUN + 2 * took)
+
+    def penalty(self, now: float) -> int:
+        """Guards against one endpoint down among siblings: it is taken last, but tried now and then."""
+        # So that those that failed do not stand idle for good, with all calls on the one that did not: after
+        # restarts, broken connections, a slow spell. Costs a trial each some seconds while one stays down.
+        return self.fails if self.flight or now < self.shun_until else 0
 
 
 class Call:
@@ -451,10 +463,10 @@
         elif event.outcome is Outcome.FULL:
             route.on_full(self.now, event.wait, self.refusals[kind])
         elif event.outcome is Outcome.CANCELLED and call.sent < route.ok_at:
-            endpoint.fails += 1
+            endpoint.on_fail(self.now, event.elapsed)
             route.narrow()  # slow, but others were answered meanwhile
         else:
-            endpoint.fails += 1  # guards against one endpoint down among siblings: it is taken last
+            endpoint.on_fail(self.now, event.elapsed)
             route.on_fail(self.now, event.outcome)
         if route.down != was:
             state = "answers again, ramping" if was else f"down ({event.outcome.name.lower()}), trials only"
@@ -497,11 +509,12 @@
         """The endpoint for the next call: fewest failures, least busy, with a connection to use again."""
         ready = [e for e in route.endpoints if e.info.condition is i.Condition.READY]
         cold = self.now - self.s.keep_alive
-        return min(ready, key=lambda e: (e.fails, e.flight, e.warm < cold, e.order), default=None)
+        return min(ready, key=lambda e: (e.penalty(self.now), e.flight, e.warm < cold, e.order), default=None)
 
     def pick(self, held: dict[int, Message], endpoint: Endpoint) -> list[Message]:
         """The messages of the next call, the most valuable first; of equals the one nearest its aim."""
         route, able = endpoint.route, []
+        trial = route.down or endpoint.fails > 0
         doubtful = route.down or route.risk > SICK_SHARE / 2  # guards unsafe messages, for half their life
         for m in held.values():
             rest = 0.0 if m.attempts else self.rests.get(m.key, 0.0)
@@ -513,7 +526,7 @@
             elif self.now + STOP_CALLS * self.usual_call(m, route) > self.stop_at:
                 continue  # guards against calls cut off by the end of the process: they may have run
             elif not (m.key and self.lines[m.key][0] != m.id or self.now > until or elsewhere):
-                first = m.cls.effect if route.down else 0  # trials are best made with what may be repeated
+                first = m.cls.effect if trial else 0  # trials are best made with what may be repeated
                 able.append((first, -m.value(self.now, self.s.late_halves), m.aim_at, m.id, m))
         size = 1 if route.down else self.s.kinds[endpoint.info.kind].batch
         return [a[-1] for a in heapq.nsmallest(size, able)]
