Take an endpoint that refuses after its siblings

Lines at fault: Sender.learn, whose FULL branch leaves the endpoint alone, and Sender.choose: one that refuses fast is never busy.

Change: from the second refusal without a told wait on, an endpoint comes after its siblings for a second each, up to five; then it is tried once.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -64,7 +64,14 @@
         self.info, self.route, self.flight, self.fails = info, route, 0, 0  # fails: in a row
         self.order = order  # by chance, so that senders do not all take the same one of equals
         self.warm = -math.inf  # when a connection was last used
-        self.shun_until = -math.inf
+        self.fulls, self.shun_until = 0, -math.inf  # fulls: refusals in a row
+
+    def on_full(self, now: float, wait: float) -> None:
+        # Guards against one that refuses at once, so is never busy, and draws all calls while siblings have
+        # room: one that drains before the list says so, or is full by itself. A told wait is for all of them.
+        if not wait:
+            self.fulls += 1
+            self.shun_until = max(self.shun_until, now + min(CAP, SHUN * self.fulls))
 
     def on_fail(self, now: float, took: float) -> None:
         self.fails += 1
@@ -75,7 +82,8 @@
         # So that those that failed do not stand idle for good, with all calls on the one that did not: after
         # restarts, broken connections, a slow spell. Costs a trial each some seconds while one stays down.
         due = not self.flight and now >= self.shun_until
-        return 0 if due else self.fails, self.flight, not (due and self.fails)
+        bad = self.fails + max(0, self.fulls - 1)  # one alone may be anybody's excess
+        return 0 if due else bad, self.flight, not (due and bad)
 
 
 class Call:
@@ -461,7 +469,7 @@
             most = min(self.s.fall / 4 * route.spread**2, 2 * self.s.cold)  # all together as few as FLEET
             route.trial_wait = self.draw(max(route.trial_wait, most * route.sparse / 3), most)
         if event.outcome is Outcome.OK:
-            endpoint.fails, endpoint.warm = 0, self.now
+            endpoint.fails, endpoint.fulls, endpoint.warm = 0, 0, self.now
             relative, took = 1.0, event.elapsed / math.sqrt(call.size)
             if message is not None:
                 usual = self.usual[message.cls] or took or 1.0
@@ -469,6 +477,7 @@
                 self.usual[message.cls] = usual + 0.02 * (took / (route.latency or 1.0) - usual)
             route.on_ok(self.now, relative, self.refusals[kind])
         elif event.outcome is Outcome.FULL:
+            endpoint.on_full(self.now, event.wait)
             route.on_full(self.now, event.wait, self.refusals[kind])
         elif event.outcome is Outcome.CANCELLED and call.sent < route.ok_at:
             endpoint.on_fail(self.now, event.elapsed)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -82,6 +82,29 @@
     drive(story())
 
 
+def test_an_endpoint_that_refuses_does_not_draw_the_calls_while_its_sibling_has_room(tmp_path):
+    """Incident rb42964: one that drained refused at once, so was never busy, and its siblings had no calls."""
+
+    async def story():
+        names = []
+
+        def reply(name):
+            def answer(request, body):
+                names.append(name)
+                return (503 if name == names[0] else 200), [], b""  # the first one asked
+
+            return answer
+
+        async with HttpPeer(reply("r1")) as one, HttpPeer(reply("r2")) as two, Agent() as agent:
+            agent.hosts = [host("r1", one.dial, share=40.0), host("r2", two.dial, share=40.0)]
+            async with sender(tmp_path, agent, weights="rough") as node, Client(node.port) as client:
+                await hand_in(client, 0, 12)
+                await until(lambda: len(names) - names.count(names[0]) == 12)
+                assert names.count(names[0]) < 10
+
+    drive(story())
+
+
 def test_connections_are_kept_again_where_new_ones_break_as_often(tmp_path, monkeypatch):
     """Kept ones were judged by chance, and each call paid for a new one for ten seconds, with slots short."""
     monkeypatch.setattr(policy, "WORN", 60_000.0)
