Move the sender's parts into packages by concern: fronts, carriers, membership, sinks, store

Change: net/ becomes fronts/resp, carriers/http, node, store, membership, sinks, config; a source of endpoints and a sink of ends are what a node is given, and the platform's are one of each. No behaviour changes.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -6,11 +6,13 @@
 import signal
 import sys
 
-from .config import ConfigError, load
-from .net.clients import Clients
-from .net.node import Node
-from .net.platform import keep
-from .reload import Reload
+from .config.platform import ConfigError, load
+from .config.reload import Reload
+from .fronts.resp.server import Clients
+from .membership.platform import Discovery
+from .node.node import Node
+from .sinks.notices import Notices
+from .tasks import keep
 
 log = logging.getLogger("rainpier")
 SERVE_ON = 0.45  # s after SIGTERM: new connections come for up to 0.4 s
@@ -24,8 +26,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(os.environ)
-    node = Node(config)
-    reloading = loop.create_task(keep(lambda: reload.run(config, node.platform)))
+    discovery, notices = Discovery(config.discovery), Notices(config.discovery)
+    node = Node(config, discovery, notices)
+    reloading = loop.create_task(keep(lambda: reload.run(config, discovery, notices)))
     await node.start()
     clients = Clients(node.put, config.for_clients)
     await clients.listen(config.listen)
--- /dev/null
+++ b/rainpier/carriers/__init__.py
@@ -0,0 +1,1 @@
+"""How messages go out."""
--- /dev/null
+++ b/rainpier/carriers/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1: calls to receivers."""
--- a/rainpier/net/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from .. import interface as i
-from ..interface import Outcome
-from .http import BROKEN, Answer, Connection, Spoilt, request
-from .journal import Entry
+from ... import interface as i
+from ...interface import Outcome
+from ...store.journal import Entry
+from .connection import BROKEN, Answer, Connection, Spoilt, request
 
 log = logging.getLogger(__name__)
 WHOLE = {200: Outcome.OK, 500: Outcome.ERROR, 429: Outcome.FULL, 503: Outcome.FULL,
--- /dev/null
+++ b/rainpier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/rainpier/config/__init__.py
@@ -0,0 +1,1 @@
+"""One model of the configuration: read, check, write, reload."""
--- a/rainpier/config.py
+++ b/rainpier/config/platform.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from . import interface as i
+from .. import interface as i
 
 SPARE = 24  # descriptors kept for files, the platform's connections, and what is just being closed
 EFFECT = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
--- a/rainpier/reload.py
+++ b/rainpier/config/reload.py
@@ -5,8 +5,9 @@
 from collections.abc import Mapping
 from dataclasses import fields
 
-from .config import Config, ConfigError, load
-from .net.platform import Platform
+from ..membership.platform import Discovery
+from ..sinks.notices import Notices
+from .platform import Config, ConfigError, load
 
 log = logging.getLogger(__name__)
 TAKEN_OVER = ("discovery",)
@@ -23,13 +24,13 @@
         """From a signal, at any time: also before there is anything to change, and several at once."""
         self.asked.set()
 
-    async def run(self, config: Config, platform: Platform) -> None:
+    async def run(self, config: Config, discovery: Discovery, notices: Notices) -> None:
         while True:
             await self.asked.wait()
             self.asked.clear()
-            config = self.apply(config, platform)
+            config = self.apply(config, discovery, notices)
 
-    def apply(self, old: Config, platform: Platform) -> Config:
+    def apply(self, old: Config, discovery: Discovery, notices: Notices) -> Config:
         """The configuration that is in force from now on."""
         try:
             new = load(self.env)
@@ -40,7 +41,8 @@
         later = [name for name in differ if name not in TAKEN_OVER + OF_A_START]
         if later:
             log.warning("configuration: takes effect at the next start only: %s", ", ".join(later))
-        if new.discovery != platform.address:
-            platform.move(new.discovery)
+        if new.discovery != discovery.address:
+            discovery.move(new.discovery)
+            notices.move(new.discovery)
         log.info("configuration read again: discovery at %s:%d", *new.discovery)
         return new
--- /dev/null
+++ b/rainpier/control/__init__.py
@@ -0,0 +1,1 @@
+"""A running sidecar's state, on a local socket."""
--- /dev/null
+++ b/rainpier/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""How messages come in."""
--- a/rainpier/net/clients.py
+++ b/rainpier/fronts/resp/server.py
@@ -9,7 +9,7 @@
 
 import hiredis
 
-from .resp import BadRequest, Put, error, frame, parse_put, shown
+from .requests import BadRequest, Put, error, frame, parse_put, shown
 
 log = logging.getLogger(__name__)
 READ = 65536  # bytes of one read
--- /dev/null
+++ b/rainpier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where endpoints come from."""
--- /dev/null
+++ b/rainpier/membership/platform.py
@@ -0,0 +1,114 @@
+"""The platform's list of receivers: first the whole, then a watch on what changes."""
+
+import asyncio
+import json
+import logging
+import math
+
+from ..carriers.http.connection import BROKEN, Client
+from ..interface import Condition, ListKind
+from ..tasks import keep
+from .source import Host, Told
+
+log = logging.getLogger(__name__)
+HEALTH = {"SERVING": Condition.READY, "DRAINING": Condition.DRAINING, "DELETED": Condition.GONE}
+WAIT = 20.0  # s that a watch may wait for news
+SPARE = 1.5  # s beyond that after which discovery counts as silent and is asked again
+LIST_TIMEOUT = 2.0  # s for the whole list, which comes at once or not at all
+PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
+MAX_LIST = 4 << 20  # bytes of an answer's body
+MAX_NAME = 256
+UNUSABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)  # of an answer that came
+
+
+def read_number(row: dict, name: str, default: float) -> float:
+    """A number from 0 on; JSON's reader also takes NaN and Infinity."""
+    value = float(row.get(name, default))
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{name} out of range: {value}")
+    return value
+
+
+def read_host(row: dict) -> Host:
+    names = [str(row[name]) for name in ("host", "dial", "site", "class")]
+    if not all(0 < len(name) <= MAX_NAME for name in names):
+        raise ValueError("a name is empty or too long")
+    block = int(row["block"])
+    if not 0 <= block < 2**31:
+        raise ValueError(f"block out of range: {block}")
+    return Host(
+        *names, block, HEALTH[row["health"]], read_number(row, "share", 1.0), read_number(row, "born_ms", 0.0)
+    )
+
+
+def read_hosts(raw: dict) -> list[Host]:
+    """The entries of a list; one that can't be read is passed over, and logged."""
+    hosts = []
+    for row in raw["hosts"]:
+        try:
+            hosts.append(read_host(row))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            log.error("discovery: entry passed over: %r: %.200r", error, row)
+    return hosts
+
+
+class Discovery:
+    """Keeps the list of receivers: first the whole list, then watches, for as long as the process runs."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address, self.client = address, Client(address, MAX_LIST)
+        self.told: Told = lambda kind, hosts: None
+        self.seq: int | None = None
+        self.whole = asyncio.Event()  # the list came at least once
+        self.task: asyncio.Task | None = None
+
+    def start(self, told: Told) -> None:
+        self.told = told
+        self.go()
+
+    def go(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(keep(self.run))
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        self.client.drop()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, at once.
+
+        The hanging watch is cut off: the old address may never answer again. Version numbers mean nothing
+        at the new one, so the whole list is asked for.
+        """
+        self.close()
+        self.address, self.seq, self.client = address, None, Client(address, MAX_LIST)
+        self.go()
+
+    async def run(self) -> None:
+        silent = False
+        while True:
+            try:
+                await self.ask()
+                silent = False
+            except (*BROKEN, TimeoutError, *UNUSABLE) as error:
+                if not silent:
+                    log.warning("discovery: %r; going on with the list as it is", error)
+                silent = True
+                if isinstance(error, UNUSABLE):
+                    self.seq = None  # an answer that can't be read may have held changes
+                await asyncio.sleep(PAUSE)
+
+    async def ask(self) -> None:
+        target, timeout = "/v1/servers", LIST_TIMEOUT
+        if self.seq is not None:
+            target, timeout = f"{target}?index={self.seq}&wait={int(WAIT * 1000)}", WAIT + SPARE
+        answer = await self.client.request("GET", target, b"", timeout)
+        if answer.status != 200:
+            raise ValueError(f"answered {answer.status}")
+        raw = json.loads(answer.body)
+        hosts, seq = read_hosts(raw), int(raw["seq"])
+        if seq < 0:
+            raise ValueError(f"seq out of range: {seq}")
+        self.told(ListKind.FULL if raw.get("whole") else ListKind.DELTA, hosts)
+        self.seq = seq
+        self.whole.set()
--- /dev/null
+++ b/rainpier/membership/source.py
@@ -0,0 +1,35 @@
+"""What every source of endpoints gives: entries in the list's terms, told as they change."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..interface import Condition, ListKind
+
+
+@dataclass(slots=True, frozen=True)
+class Host:
+    """One receiver of a destination."""
+
+    name: str  # the same for as long as it is the same receiver
+    dial: str  # HOST:PORT
+    site: str
+    kind: str
+    block: int  # the number of its destination
+    health: Condition
+    share: float  # its rate, calls a second, where the list holds rates
+    born: float  # Unix time of its start, ms; 0: long ago
+
+
+Told = Callable[[ListKind, list[Host]], None]
+
+
+class Source(Protocol):
+    """Tells the whole list once, then each change, for as long as it is started."""
+
+    whole: asyncio.Event  # the list came at least once
+
+    def start(self, told: Told) -> None: ...
+
+    def close(self) -> None: ...
--- a/rainpier/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sender: the decision module on sockets."""
--- /dev/null
+++ b/rainpier/node/__init__.py
@@ -0,0 +1,1 @@
+"""Rounds: events to the policy, actions to the carriers, steps to the store."""
--- a/rainpier/net/node.py
+++ b/rainpier/node/node.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass, replace
 
 from .. import interface as i
-from ..config import Config, ConfigError, address
+from ..carriers.http.receivers import Call, Ending, Receivers, batches
+from ..config.platform import Config, ConfigError, address
+from ..fronts.resp.requests import Put, error
+from ..membership.platform import read_hosts
+from ..membership.source import Host, Source
 from ..policy import Sender
-from .journal import Entry, Journal
-from .platform import Host, Platform, keep, read_hosts
-from .receivers import Call, Ending, Receivers, batches
-from .resp import Put, error
+from ..sinks.sink import Sink
+from ..store.journal import Entry, Journal
+from ..tasks import keep
 
 log = logging.getLogger(__name__)
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
@@ -39,8 +42,9 @@
 class Node:
     """One sender: the module, its journal, and the sockets round it."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.loop = config, asyncio.get_running_loop()
+    def __init__(self, config: Config, source: Source, sink: Sink) -> None:
+        self.config, self.source, self.sink = config, source, sink
+        self.loop = asyncio.get_running_loop()
         self.s = replace(config.settings, ends_answered=True)
         self.epoch = time.time() * 1000 - self.loop.time() * 1000  # one clock for all processes
         self.sender = Sender(self.s, config.seed)
@@ -48,7 +52,6 @@
         self.kinds = {kind.name: number for number, kind in enumerate(self.s.kinds)}
         self.journal = Journal(config.state, config.disk, self.now)
         self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.for_calls)
-        self.platform = Platform(config.discovery, self.on_list, self.on_answered)
         self.events: list[i.Event] = []
         self.intake: dict[int, Intake] = {}  # by number, until the next round
         self.names: dict[str, Intake] = {}  # the same by id
@@ -74,19 +77,20 @@
         """Take up the list and what an earlier process left."""
         if self.config.known:
             self.on_list(i.ListKind.CACHED, read_hosts(self.config.known))
-        self.platform.start()
+        self.source.start(self.on_list)
+        self.sink.start(self.on_answered)
         self.tasks.append(self.loop.create_task(keep(self.sweep)))
         # Guards against sending what was left to a receiver that drained meanwhile.
         if self.journal.entries:
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.platform.discovery.whole.wait(), FIRST_LIST)
+                await asyncio.wait_for(self.source.whole.wait(), FIRST_LIST)
         for entry in list(self.journal.entries.values()):
             self.resume(entry)
 
     def resume(self, entry: Entry) -> None:
         cls = self.classes.get(entry.cls)
         if entry.end:
-            self.platform.notices.add(entry)
+            self.sink.add(entry)
         elif cls is None:
             log.error("message %s is of a class that is no longer known: %s", entry.id, entry.cls)
             self.conclude(entry, GIVEN_UP, 0)
@@ -108,13 +112,14 @@
     @property
     def busy(self) -> bool:
         """Calls are out, or notices unanswered."""
-        return bool(self.out or self.platform.notices.waiting)
+        return bool(self.out or self.sink.waiting)
 
     def close(self) -> None:
         """What is still out stays in the journal as begun, for the next process: it may have run."""
         for task in self.tasks:
             task.cancel()
-        self.platform.close()
+        self.source.close()
+        self.sink.close()
         for timer in self.timers.values():
             timer.cancel()
         if self.next_round is not None:
@@ -319,7 +324,7 @@
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
         log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
         self.journal.end(entry, end, retry)
-        self.platform.notices.add(entry)
+        self.sink.add(entry)
 
     def on_answered(self, entries: list[Entry]) -> None:
         self.journal.over(entries)
--- a/rainpier/simhost.py
+++ b/rainpier/simhost.py
@@ -8,7 +8,7 @@
 from typing import BinaryIO
 
 from . import interface as i
-from .config import settings
+from .config.platform import settings
 from .policy import Sender
 
 STATUS = {
--- /dev/null
+++ b/rainpier/sinks/__init__.py
@@ -0,0 +1,1 @@
+"""Where the ends of undelivered messages go."""
--- /dev/null
+++ b/rainpier/sinks/notices.py
@@ -0,0 +1,40 @@
+"""Ends told over HTTP: one POST with a JSON object a line, answered 204 (protocol page, Notices)."""
+
+import json
+import logging
+
+from ..carriers.http.connection import BROKEN, Client
+from ..store.journal import Entry
+from .sink import Sink, notice
+
+log = logging.getLogger(__name__)
+TIMEOUT = 0.5  # s; notices are answered at once
+MAX_REPLY = 4096  # bytes of an answer's body
+TARGET = "/reports"
+
+
+class Notices(Sink):
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__()
+        self.client = Client(address, MAX_REPLY)
+
+    def close(self) -> None:
+        super().close()
+        self.client.drop()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, at once; what is unanswered is told once more, which does no harm."""
+        self.close()
+        self.client = Client(address, MAX_REPLY)
+        self.go()
+
+    async def tell(self, batch: list[Entry]) -> bool:
+        body = b"".join(json.dumps(notice(entry)).encode() + b"\n" for entry in batch)
+        try:
+            answer = await self.client.request("POST", TARGET, body, TIMEOUT)
+        except (*BROKEN, TimeoutError) as error:
+            log.warning("notices: %r; telling them again", error)
+            return False
+        if answer.status != 204:
+            log.warning("notices: answered %d; telling them again", answer.status)
+        return answer.status == 204
--- /dev/null
+++ b/rainpier/store/__init__.py
@@ -0,0 +1,1 @@
+"""What must last."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,7 +7,10 @@
 import hiredis
 
 from rainpier import interface as i
-from rainpier.config import Config
+from rainpier.config.platform import Config
+from rainpier.membership.platform import Discovery
+from rainpier.node.node import Node
+from rainpier.sinks.notices import Notices
 
 PATIENCE = 10.0  # s that any awaited thing may take at most
 SETTINGS = {
@@ -168,12 +171,17 @@
 
 def config(folder, agent, hosts=(), listen=("127.0.0.1", 0), **settings):
     raw = SETTINGS | settings
-    from rainpier.config import settings as decode
+    from rainpier.config.platform import settings as decode
 
     return Config("n0", listen, ("127.0.0.1", agent.port), folder, 7, 1024, 3_000_000, decode(raw),
                   tuple(raw["zones"]), raw["weights"] != "off", {"seq": 1, "whole": True, "hosts": list(hosts)})  # fmt: skip
 
 
+def node_of(config):
+    """A whole sender as the platform has it: its list and its notices at one address."""
+    return Node(config, Discovery(config.discovery), Notices(config.discovery))
+
+
 def command(*parts):
     parts = [part if isinstance(part, bytes) else str(part).encode() for part in parts]
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,7 +6,7 @@
 import pytest
 from peers import Client, command, drive, put, until
 
-from rainpier.net.clients import Clients
+from rainpier.fronts.resp.server import Clients
 
 
 @contextlib.asynccontextmanager
@@ -148,7 +148,7 @@
 
 def test_connections_that_asked_once_and_stayed_make_room_for_new_clients(monkeypatch):
     """They filled all descriptors that clients may have, and everybody else was turned away."""
-    monkeypatch.setattr("rainpier.net.clients.IDLE_TIME", 0.1)
+    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_TIME", 0.1)
 
     async def story():
         async with serving(most=3) as (clients, _), contextlib.AsyncExitStack() as stack:
@@ -178,7 +178,7 @@
 
 
 def test_a_connection_with_an_open_request_is_not_closed_for_room(monkeypatch):
-    monkeypatch.setattr("rainpier.net.clients.IDLE_TIME", 0.0)
+    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_TIME", 0.0)
 
     async def story():
         answer = asyncio.get_running_loop().create_future()
@@ -213,7 +213,7 @@
 
 @pytest.mark.parametrize("before", [b"", command("PING")])
 def test_half_a_request_is_not_waited_for_for_ever(monkeypatch, before):
-    monkeypatch.setattr("rainpier.net.clients.REQUEST_TIME", 0.3)
+    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.3)
 
     async def story():
         async with serving() as (clients, taken), Client(clients.port) as client:
@@ -227,7 +227,7 @@
 
 
 def test_bytes_that_drip_in_win_no_time(monkeypatch):
-    monkeypatch.setattr("rainpier.net.clients.REQUEST_TIME", 0.5)
+    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.5)
 
     async def story():
         async with serving() as (clients, taken), Client(clients.port) as client:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -20,7 +20,7 @@
 def test_nothing_is_kept_of_receivers_messages_and_keys_that_are_gone(tmp_path, monkeypatch):
     """All day receivers are replaced under new ids, at the same addresses; ids, keys and connections are new."""
     monkeypatch.setattr("rainpier.policy.FORGET", 0.0)
-    monkeypatch.setattr("rainpier.net.node.SWEEP", 0.02)
+    monkeypatch.setattr("rainpier.node.node.SWEEP", 0.02)
 
     async def story():
         async with HttpPeer(lambda request, body: (200, [("X-Retry-In-Ms", "1")], b"")) as receiver, Agent() as agent:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rainpier.interface import Outcome
-from rainpier.net import journal as j
+from rainpier.store import journal as j
 
 DISK = 300_000
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,16 +4,15 @@
 import contextlib
 
 import pytest
-from peers import Agent, Client, HttpPeer, command, config, drive, host, put, until
+from peers import Agent, Client, HttpPeer, command, config, drive, host, node_of, put, until
 
 from rainpier import interface as i
-from rainpier.net.clients import Clients
-from rainpier.net.node import Node
+from rainpier.fronts.resp.server import Clients
 
 
 @contextlib.asynccontextmanager
 async def sender(tmp_path, agent, hosts=None, **settings):
-    node = Node(config(tmp_path, agent, agent.hosts if hosts is None else hosts, **settings))
+    node = node_of(config(tmp_path, agent, agent.hosts if hosts is None else hosts, **settings))
     await node.start()
     clients = Clients(node.put, 100)
     await clients.listen(("127.0.0.1", 0))
@@ -116,7 +115,7 @@
                 assert await client.ask(put("two", **line)) == "OK"
                 await receiver.next()
                 answers["one"].set_result((503, [], b""))
-                await until(lambda: node.platform.notices.waiting)
+                await until(lambda: node.sink.waiting)
                 await asyncio.sleep(0.3)
                 assert receiver.requests.empty()
                 agent.refuse_notices = 0
@@ -239,7 +238,7 @@
         async with HttpPeer(lambda request, body: (500, [], b"")) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
-                answered, failed = node.platform.notices.answered, []
+                answered, failed = node.sink.answered, []
 
                 def fail(entries):
                     if not failed:
@@ -247,7 +246,7 @@
                         raise RuntimeError("no good")
                     answered(entries)
 
-                node.platform.notices.answered = fail
+                node.sink.answered = fail
                 assert await client.ask(put("one", cls="unsafe")) == "OK"
                 assert [(await agent.notice())["message"] for _ in range(2)] == ["one", "one"]
                 await until(lambda: not node.journal.entries)
@@ -257,8 +256,8 @@
 
 
 def test_discovery_is_asked_whole_then_watched_and_asked_again_when_silent(tmp_path, monkeypatch):
-    monkeypatch.setattr("rainpier.net.platform.WAIT", 0.2)
-    monkeypatch.setattr("rainpier.net.platform.SPARE", 0.2)
+    monkeypatch.setattr("rainpier.membership.platform.WAIT", 0.2)
+    monkeypatch.setattr("rainpier.membership.platform.SPARE", 0.2)
 
     async def story():
         async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
@@ -295,7 +294,7 @@
 
             agent.answer = answer
             async with sender(tmp_path, agent) as node:
-                await until(lambda: node.platform.discovery.whole.is_set())
-                assert node.platform.discovery.seq is not None
+                await until(lambda: node.source.whole.is_set())
+                assert node.source.seq is not None
 
     drive(story())
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -10,10 +10,10 @@
 from peers import SETTINGS, HttpPeer, Peer, drive, until
 
 from rainpier import interface as i
-from rainpier.config import settings
+from rainpier.carriers.http.receivers import Call, Receivers, batches, load_report, told_wait
+from rainpier.config.platform import settings
 from rainpier.interface import Outcome as O
-from rainpier.net.journal import Entry
-from rainpier.net.receivers import Call, Receivers, batches, load_report, told_wait
+from rainpier.store.journal import Entry
 
 
 def entries(*names):
@@ -400,7 +400,7 @@
         async def none_left(address):
             raise OSError(errno.EMFILE, "Too many open files")
 
-        monkeypatch.setattr("rainpier.net.receivers.Connection.open", none_left)
+        monkeypatch.setattr("rainpier.carriers.http.receivers.Connection.open", none_left)
         assert outcomes(await Bench(1).call("a")) == [O.MOOT]
 
     drive(story())
