Add a standalone sidecar: one configuration model, check, init, show, status and demo

Change: config/ holds one model that run, check, init, show and the reference page follow from, read from TOML with places (tree-sitter for the places, tomllib as the authority) and from the platform's JSON; endpoints from a file and ends to a rotated file are one more source and sink; RESP clients' own openings are answered.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -1,4 +1,7 @@
-"""Runs one sender: python -m rainpier. Its configuration comes from the environment."""
+"""python -m rainpier: with no words the platform's sender, whose configuration comes from the environment.
+
+With words it is the command line: see rainpier/cli.
+"""
 
 import asyncio
 import logging
@@ -9,15 +12,13 @@
 from .config.platform import ConfigError, load
 from .config.reload import Reload
 from .fronts.resp.server import Clients
+from .host import finish
 from .membership.platform import Discovery
 from .node.node import Node
 from .sinks.notices import Notices
 from .tasks import keep
 
 log = logging.getLogger("rainpier")
-SERVE_ON = 0.45  # s after SIGTERM: new connections come for up to 0.4 s
-LAST_START = 2.5  # s after SIGTERM: from then on it only waits for calls that are out
-END = 3.2  # s after SIGTERM; SIGKILL comes 3.7 s after it at the soonest
 
 
 async def serve() -> None:
@@ -39,22 +40,8 @@
     reloading.cancel()
 
 
-async def finish(node: Node, clients: Clients, begun: float) -> None:
-    """Serve for as long as clients still come, then let what is out end; the rest stays in the journal."""
-    loop = asyncio.get_running_loop()
-    log.info("stopping")
-    node.stopping(begun + END)
-    await asyncio.sleep(SERVE_ON)
-    await clients.close(within=0.4)
-    while loop.time() < begun + END:
-        if not node.busy and (loop.time() > begun + LAST_START or not node.journal.entries):
-            break
-        await asyncio.sleep(0.02)
-    log.info("stopped: %d messages stay in the journal", len(node.journal.entries))
-    node.close()
-
-
 def main() -> int:
+    """The platform's sender."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     # Guards the moments before the loop's handlers and after them: SIGHUP must never end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -72,4 +59,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from .cli.main import main as command_line  # only here: the platform's sender has no use for it
+
+        command_line(prog_name="rainpier")
     sys.exit(main())
--- /dev/null
+++ b/rainpier/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A sidecar among stand-in receivers, in one command."""
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -1,4 +1,4 @@
-"""RESP2 server for clients: PING and MSG.PUT. Which connections it keeps, and for how long."""
+"""RESP server for clients: PING, MSG.PUT and the handshake. Which connections it keeps, and for how long."""
 
 import asyncio
 import errno
@@ -10,6 +10,7 @@
 import hiredis
 
 from .requests import BadRequest, Put, error, frame, parse_put, shown
+from .session import Session
 
 log = logging.getLogger(__name__)
 READ = 65536  # bytes of one read
@@ -36,6 +37,7 @@
         self.clients, self.loop = clients, clients.loop
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
+        self.session = Session(clients.password)
         self.answers: deque[Answer] = deque()
         self.since = self.loop.time()  # of the last thing that happened: the connect, a request, an answer
         self.begun = self.since  # when the first byte of the request that is not whole yet came
@@ -104,7 +106,9 @@
             while turn and not self.crowded and (end := frame(self.buffer, at)):
                 self.clients.parser.feed(bytes(self.buffer[at:end]))
                 at, turn, self.proven = end, turn - 1, True
-                self.answers.append(self.clients.answer(self.clients.parser.gets()))
+                self.answers.append(self.clients.answer(self.clients.parser.gets(), self.session))
+                if self.session.quit:  # what comes behind a QUIT is not read
+                    self.last, at, turn = True, len(self.buffer), 0
         except hiredis.ProtocolError as failure:
             return self.fail(f"Protocol error: {failure}")
         if at:
@@ -191,8 +195,8 @@
 class Clients:
     """Listens, and keeps the connections inside their number."""
 
-    def __init__(self, put: Callable[[Put], Answer], most: int) -> None:
-        self.put, self.most = put, most
+    def __init__(self, put: Callable[[Put], Answer], most: int, password: str = "") -> None:
+        self.put, self.most, self.password = put, most, password
         self.loop = asyncio.get_running_loop()
         self.parser = hiredis.Reader()
         self.incoming = memoryview(bytearray(READ))  # each read is taken up before the next one begins
@@ -324,9 +328,11 @@
 
     # --- requests ---
 
-    def answer(self, request: list[bytes]) -> Answer:
+    def answer(self, request: list[bytes], session: Session) -> Answer:
         name, *args = request
         try:
+            if (told := session.answer(name, args)) is not None:
+                return told
             if name.upper() == b"PING":
                 return self.ping(args)
             if name.upper() == b"MSG.PUT":
--- /dev/null
+++ b/rainpier/host.py
@@ -0,0 +1,27 @@
+"""What every host of a sender does when it is told to stop."""
+
+import asyncio
+import logging
+
+from .fronts.resp.server import Clients
+from .node.node import Node
+
+log = logging.getLogger(__name__)
+SERVE_ON = 0.45  # s after SIGTERM: new connections come for up to 0.4 s
+LAST_START = 2.5  # s after SIGTERM: from then on it only waits for calls that are out
+END = 3.2  # s after SIGTERM; SIGKILL comes 3.7 s after it at the soonest
+
+
+async def finish(node: Node, clients: Clients, begun: float) -> None:
+    """Serve for as long as clients still come, then let what is out end; the rest stays in the journal."""
+    loop = asyncio.get_running_loop()
+    log.info("stopping")
+    node.stopping(begun + END)
+    await asyncio.sleep(SERVE_ON)
+    await clients.close(within=0.4)
+    while loop.time() < begun + END:
+        if not node.busy and (loop.time() > begun + LAST_START or not node.journal.entries):
+            break
+        await asyncio.sleep(0.02)
+    log.info("stopped: %d messages stay in the journal", len(node.journal.entries))
+    node.close()
--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -1,7 +1,7 @@
 """What goes into a Sender and comes out of it. Types and their checks only; all times are milliseconds."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 
 
@@ -59,6 +59,15 @@
     repeat_window: float = 0.0  # KEYED: how long a key is remembered
     in_order: bool = False
 
+    def bound_by(self, effect: Effect, group: str, repeat_window: float) -> "MessageClass":
+        """The class for a message that was taken on under another effect: the stricter of both holds."""
+        if effect < self.effect or effect is Effect.SAFE:
+            return self
+        if effect > self.effect:
+            return replace(self, effect=effect, group=group, repeat_window=repeat_window)
+        window, zoned = min(repeat_window, self.repeat_window), "zone" in (group, self.group)
+        return replace(self, repeat_window=window, group="zone" if zoned else self.group)
+
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
@@ -164,6 +173,9 @@
     risky_zone: int = 0
     interrupted: bool = False  # an attempt was out when that process ended
     ended: bool = False  # its end is decided, but not answered: it only holds its key
+    effect: Effect = Effect.SAFE  # what it was taken on under, with its group and window: still binds
+    group: str = "all"
+    repeat_window: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -174,6 +186,20 @@
     key: int
 
 
+@dataclass(slots=True, frozen=True)
+class ClassesChange:
+    """The classes are others from now on: those known keep their numbers, new ones follow."""
+
+    classes: tuple[MessageClass, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class DestinationsGone:
+    """Nothing goes to these any more: what is held for them ends at once, what is out with its attempt."""
+
+    destinations: frozenset[int]
+
+
 @dataclass(slots=True, frozen=True)
 class Stopping:
     """The process ends; what is out at that time is cut off."""
@@ -233,8 +259,8 @@
 
 
 Event = (
-    Arrival | Resumed | Result | EndAnswered | Stopping | Withdrawn | ListChange | ProbeResult | StreamOpened
-    | PeerNote | TimerDue
+    Arrival | Resumed | Result | EndAnswered | ClassesChange | DestinationsGone | Stopping | Withdrawn
+    | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
 )  # fmt: skip
 
 
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -11,7 +11,8 @@
 
 from .. import interface as i
 from ..carriers.http.receivers import Call, Ending, Receivers, batches
-from ..config.platform import Config, ConfigError, address
+from ..config.place import Config
+from ..config.platform import ConfigError, address
 from ..fronts.resp.requests import Put, error
 from ..membership.platform import read_hosts
 from ..membership.source import Host, Source
@@ -84,8 +85,12 @@
         if self.journal.entries:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.source.whole.wait(), FIRST_LIST)
+        if not self.journal.name(self.config.destinations):
+            raise OSError("the journal takes no record: is the disk full?")
         for entry in list(self.journal.entries.values()):
             self.resume(entry)
+        if self.config.destinations:
+            self.close_destinations()
 
     def resume(self, entry: Entry) -> None:
         cls = self.classes.get(entry.cls)
@@ -102,8 +107,11 @@
         arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key)
         risky_at = entry.risky_at or math.inf
         self.push(
-            i.Resumed(arrival, entry.attempts, risky_at, entry.risky_zone, interrupted, ended=bool(entry.end))
-        )
+            i.Resumed(
+                arrival, entry.attempts, risky_at, entry.risky_zone, interrupted, bool(entry.end),
+                i.Effect(entry.effect), entry.group, entry.window,
+            )
+        )  # fmt: skip
 
     def stopping(self, at: float) -> None:
         """The process will end at that loop time."""
@@ -224,6 +232,8 @@
             return error(f"unknown class {put.cls}")
         if put.destination not in self.destinations:
             return error(f"unknown destination {put.destination}")
+        if len(put.body) > self.config.largest_body:
+            return error(f"body longer than {self.config.largest_body} bytes")
         cls = self.classes[put.cls]
         if put.span > SPANS * self.s.classes[cls].deadline:
             return error(f"field d out of range: {put.span}")
@@ -238,12 +248,54 @@
         key = put.key if self.s.classes[cls].in_order else 0
         deadline = self.now + put.span
         entry = Entry(number, put.id, put.cls, put.destination, key, put.token, deadline, put.body)
+        effect = self.s.classes[cls]
+        entry.effect, entry.group, entry.window = int(effect.effect), effect.group, effect.repeat_window
         handed = self.intake[number] = self.names[put.id] = Intake(entry, self.loop.create_future())
         self.push(
             i.Arrival(number, cls, put.destination, deadline, key, 0, put.repeated, put.inherited),
         )
         return handed.answer
 
+    # --- a configuration that changes ---
+
+    def reconfigure(self, config: Config) -> None:
+        """Take over classes and destinations, between two rounds: the next one knows all of them.
+
+        Only what `config.change` allows while the process runs may differ. The list of endpoints comes from
+        the source, which is told apart.
+        """
+        bound = self.stricter(config.settings.classes)
+        self.config, self.s = config, replace(self.s, classes=config.settings.classes)
+        self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
+        for cls, entries in bound:
+            self.journal.bind(entries, int(cls.effect), cls.group, cls.repeat_window)
+        self.journal.name(config.destinations)
+        self.push(i.ClassesChange(self.s.classes))
+        self.close_destinations()
+
+    def stricter(self, classes: Iterable[i.MessageClass]) -> list[tuple[i.MessageClass, list[Entry]]]:
+        """What is held under classes that bind it more strictly from now on, with what binds it then."""
+        held: dict[tuple, tuple[i.MessageClass, list[Entry]]] = {}
+        by_name = {cls.name: cls for cls in classes}
+        for entry in [*self.journal.entries.values(), *(handed.entry for handed in self.intake.values())]:
+            before = (entry.effect, entry.group, entry.window)
+            cls = by_name[entry.cls].bound_by(i.Effect(entry.effect), entry.group, entry.window)
+            after = (int(cls.effect), cls.group, cls.repeat_window)
+            if after == before or cls.effect is i.Effect.SAFE:
+                continue
+            if entry.number in self.journal.entries:
+                held.setdefault(after, (cls, []))[1].append(entry)
+            else:  # not journalled yet: its first record says so
+                entry.effect, entry.group, entry.window = after
+        return list(held.values())
+
+    def close_destinations(self) -> None:
+        """What is held for a destination that the configuration no longer has gets its end now."""
+        known = set(self.config.destinations.values())
+        self.destinations = {number for number in self.destinations if number in known}
+        entries = [*self.journal.entries.values(), *(handed.entry for handed in self.intake.values())]
+        self.push(i.DestinationsGone(frozenset(entry.destination for entry in entries) - known))
+
     # --- calls ---
 
     def route(self, listed: i.Listed) -> tuple[str, int]:
@@ -362,6 +414,8 @@
                 if receiver is not None and self.hosts.get(receiver.host) == number:
                     del self.hosts[receiver.host]
         self.destinations = {r.listed.destination for r in self.receivers.listed.values()}
+        if self.config.destinations:  # those of the file, whether or not an old receiver is still remembered
+            self.destinations &= set(self.config.destinations.values())
 
     # --- the list ---
 
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -47,6 +47,7 @@
     def __init__(self, event: i.Arrival, cls: i.MessageClass, worth: float) -> None:
         self.id, self.dest, self.due = event.message, event.destination, event.deadline
         self.cls, self.worth, self.key = cls, worth, event.key if cls.in_order else 0
+        self.number = event.cls  # of its class; cls itself may be stricter: see on_classes
         self.aim_at = event.deadline - cls.deadline + cls.aim
         self.wait, self.not_before, self.attempts, self.out = BASE, 0.0, 0, False
         self.risky_at, self.risky_zone = math.inf, 0  # sending of the first attempt that may have run
@@ -254,7 +255,7 @@
         self.held: dict[int, dict[int, Message]] = {}  # by destination: not out
         self.lines: dict[int, list[int]] = {}  # by key: messages in the order taken
         self.rests: dict[int, float] = {}  # by key: no new turn before
-        self.usual = {cls: None for cls in settings.classes}  # ms; mean of a call by class
+        self.usual: list[float | None] = [None] * len(settings.classes)  # ms; mean of a call by class
         self.quota = [(0.0, 0.0)] * len(settings.tenants)
         kinds = [0.0] * len(settings.kinds)  # by kind: shares of recent calls; no idle connection until
         self.refusals, self.resets, self.fresh_resets = kinds[:], kinds[:], kinds[:]
@@ -263,8 +264,10 @@
         self.now, self.wake, self.timer_at, self.acts = 0.0, math.inf, math.inf, []
         self.watching, self.ask_at, self.ask_wait = not settings.must_ask, 0.0, BASE
         self.stop_at, self.forget_at = math.inf, 0.0
+        self.closed: frozenset[int] = frozenset()  # destinations that nothing goes to any more
         self.on = {i.Arrival: self.on_arrival, i.Result: self.on_result, i.ListChange: self.on_list,
                    i.Resumed: self.on_resumed, i.Stopping: self.on_stopping,
+                   i.ClassesChange: self.on_classes, i.DestinationsGone: self.on_gone,
                    i.EndAnswered: lambda event: self.leave_line(event.key, event.message),
                    i.Withdrawn: lambda event: self.end(event.message)}  # fmt: skip
 
@@ -347,6 +350,7 @@
                 self.lines.setdefault(event.arrival.key, []).append(event.arrival.message)
             return
         message = self.hold(event.arrival)
+        message.cls = message.cls.bound_by(event.effect, event.group, event.repeat_window)
         message.attempts = event.attempts
         message.risky_at, message.risky_zone = event.risky_at, event.risky_zone
         if event.interrupted:  # as after a reset: the next try waits, and the key rests
@@ -357,6 +361,21 @@
         if self.now > self.repeat_until(message) or message.attempts >= self.s.max_attempts:
             self.finish(message)
 
+    def on_classes(self, event: i.ClassesChange) -> None:
+        """Classes changed while messages are held: stricter ones bind them, laxer ones do not."""
+        self.s = replace(self.s, classes=event.classes)
+        self.usual += [None] * (len(event.classes) - len(self.usual))
+        for m in list(self.live.values()):
+            m.cls = event.classes[m.number].bound_by(m.cls.effect, m.cls.group, m.cls.repeat_window)
+            if not m.out and self.now > self.repeat_until(m):
+                self.finish(m)  # it may have run, and may not be sent again any more
+
+    def on_gone(self, event: i.DestinationsGone) -> None:
+        """Guards messages for a destination that was removed against waiting for their deadlines."""
+        self.closed = event.destinations
+        for m in [m for m in self.live.values() if m.dest in self.closed and not m.out]:
+            self.finish(m)
+
     def on_stopping(self, event: i.Stopping) -> None:
         self.stop_at = event.at
 
@@ -412,7 +431,7 @@
 
     def usual_call(self, message: Message, route: Route, size: int = 1) -> float:
         """What a call should take by its class, the route and its size."""
-        return (self.usual[message.cls] or BASE) * (route.latency or 1.0) * math.sqrt(size)
+        return (self.usual[message.number] or BASE) * (route.latency or 1.0) * math.sqrt(size)
 
     def on_result(self, event: i.Result) -> None:
         if (event.message, event.attempt) not in self.calls:
@@ -441,7 +460,8 @@
         message.not_before = max(self.now + message.wait, told)
         last = min(message.due - self.usual_call(message, route), self.repeat_until(message))
         self.held.setdefault(message.dest, {})[message.id] = message
-        if message.not_before > last or message.attempts >= self.s.max_attempts:
+        spent = message.attempts >= self.s.max_attempts or message.dest in self.closed
+        if message.not_before > last or spent:
             self.finish(message)
 
     def learn(self, event: i.Result, call: Call) -> None:
@@ -472,9 +492,9 @@
             endpoint.fails, endpoint.fulls, endpoint.warm = 0, 0, self.now
             relative, took = 1.0, event.elapsed / math.sqrt(call.size)
             if message is not None:
-                usual = self.usual[message.cls] or took or 1.0
+                usual = self.usual[message.number] or took or 1.0
                 relative = took / usual
-                self.usual[message.cls] = usual + 0.02 * (took / (route.latency or 1.0) - usual)
+                self.usual[message.number] = usual + 0.02 * (took / (route.latency or 1.0) - usual)
             route.on_ok(self.now, relative, self.refusals[kind])
         elif event.outcome is Outcome.FULL:
             endpoint.on_full(self.now, event.wait)
--- /dev/null
+++ b/rainpier/sidecar.py
@@ -0,0 +1,139 @@
+"""Runs one sidecar from a configuration file: the same node, policy and rules as the platform's sender."""
+
+import asyncio
+import fcntl
+import logging
+import os
+import resource
+import signal
+import time
+from collections import Counter
+from pathlib import Path
+
+from .config import model as m
+from .config.check import SOCKET
+from .config.place import Config, place
+from .config.types import write_address
+from .config.watch import Reloader
+from .control.server import Control
+from .fronts.resp.server import Clients
+from .host import finish
+from .membership.file import FileList, hosts
+from .node.node import Node
+from .sinks.file import FileSink
+from .sinks.notices import Notices
+from .sinks.sink import Sink
+from .tasks import keep
+
+log = logging.getLogger(__name__)
+LOCK = "lock"
+
+
+class StartError(Exception):
+    """The sidecar can't start; the text says why in one line."""
+
+
+def lock(folder: Path) -> int:
+    """The state folder, made where there is none, for this process alone; StartError."""
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        file = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        raise StartError(f"state folder {str(folder)!r} is used by another sidecar") from error
+    except OSError as error:
+        raise StartError(f"state folder {str(folder)!r}: {error}") from error
+    return file
+
+
+def sink_of(model: m.Model) -> Sink:
+    told = model.sink
+    if told.kind == "http" and told.address is not None:
+        return Notices(told.address)
+    return FileSink(m.path_of(model, told.file), told.rotate_at, told.keep)
+
+
+class Sidecar:
+    """One process: a file's model, and all that runs by it."""
+
+    def __init__(self, model: m.Model, path: Path) -> None:
+        self.model, self.path, self.started = model, path, time.time()
+        self.seed = int.from_bytes(os.urandom(8))
+        self.reloader = Reloader(path, model, self.apply)
+        self.stop = asyncio.Event()
+        self.node: Node | None = None
+
+    async def run(self) -> None:
+        """Until SIGTERM or SIGINT; StartError, OSError where it can't start."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reloader.ask)  # first: unhandled it ends the process
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        config = place(self.model, self.seed)
+        held = lock(config.state)
+        self.hold_descriptors(config.sockets)
+        try:
+            await self.serve(config)
+        finally:
+            os.close(held)
+
+    @staticmethod
+    def hold_descriptors(most: int) -> None:
+        """Guards against a lower limit of the shell's: sockets would run out before the settings say so."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < most:
+            top = most if hard == resource.RLIM_INFINITY else min(most, hard)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (top, hard))
+            if top < most:
+                log.warning("limits.sockets is %d, but the system allows this process %d", most, top)
+
+    async def serve(self, config: Config) -> None:
+        loop, sink = asyncio.get_running_loop(), sink_of(self.model)
+        self.source = FileList(hosts(self.model))
+        self.node = node = Node(config, self.source, sink)
+        if isinstance(sink, FileSink):
+            sink.recover(entry.id for entry in node.journal.entries.values() if entry.end)
+        await node.start()
+        self.clients = Clients(node.put, config.for_clients, self.model.resp.password)
+        await self.clients.listen(config.listen)
+        control = Control(config.state / SOCKET, {"status": self.status})
+        await control.listen()
+        reloading = loop.create_task(keep(self.reloader.run))
+        log.info("%s serves on %s", config.name, write_address((config.listen[0], self.clients.port)))
+        log.info("%s, state %s, %d messages taken up", self.path, config.state, len(node.journal.entries))
+        await self.stop.wait()
+        await finish(node, self.clients, loop.time())
+        reloading.cancel()
+        await control.close()
+
+    def apply(self, model: m.Model) -> None:
+        """An edit as a whole, between two rounds: nothing of it can be seen without the rest."""
+        assert self.node is not None
+        self.node.reconfigure(place(model, self.seed))
+        self.source.set(hosts(model))
+        self.model = model
+
+    def status(self) -> dict[str, object]:
+        """What `rainpier status` shows."""
+        assert self.node is not None
+        node, model = self.node, self.model
+        held = Counter(entry.destination for entry in node.journal.entries.values())
+        return {
+            "name": model.sidecar.name, "pid": os.getpid(), "file": str(self.path),
+            "listen": write_address((model.resp.listen[0], self.clients.port)),
+            "up_s": round(time.time() - self.started, 1),
+            "held": len(node.journal.entries), "out": len(node.out), "ends_waiting": len(node.sink.waiting),
+            "clients": len(self.clients.connections),
+            "journal_bytes": node.journal.size, "disk_bytes": node.config.disk,
+            "reload": {
+                "applied": self.reloader.applied, "rejected": self.reloader.rejected,
+                "last": self.reloader.last.as_json() if self.reloader.last else None,
+            },
+            "destinations": {
+                name: {
+                    "number": dest.number, "held": held[dest.number],
+                    "endpoints": {m.endpoint_name(e): e.state for e in dest.endpoints},
+                }
+                for name, dest in model.destinations.items()
+            },
+        }  # fmt: skip
--- a/rainpier/store/journal.py
+++ b/rainpier/store/journal.py
@@ -44,6 +44,9 @@
     risky_zone: int = 0
     end: str = ""  # the decided end, which its notice tells
     retry: int = 0
+    effect: int = 0  # the strictest effect that its class had since it was taken on, with group and window
+    group: str = "all"
+    window: float = 0.0
 
     def settle(self, outcome: Outcome) -> None:
         if not outcome.never_ran and not self.risky_at:
@@ -54,7 +57,7 @@
         body = base64.b64encode(self.body).decode()
         return ["take", self.number, self.id, self.cls, self.destination, self.key, self.token, self.deadline,
                 body, self.attempts, self.begun, self.begun_zone, self.risky_at, self.risky_zone, self.end,
-                self.retry]  # fmt: skip
+                self.retry, self.effect, self.group, self.window]  # fmt: skip
 
 
 def line(record: list) -> bytes:
@@ -81,6 +84,7 @@
         self.ended: dict[str, float] = {}  # ids that are over, until then: not to be taken on twice
         self.sizes: dict[int, int] = {}
         self.live, self.size, self.torn, self.next = 0, 0, False, 1
+        self.names: dict[str, int] = {}  # numbers of destinations, where a configuration gives them names
         self.file = -1
         self.fresh.unlink(missing_ok=True)  # guards against the half of a rewrite that was cut off
         if self.path.exists():
@@ -121,12 +125,25 @@
         elif kind == "end":
             entry = self.entries[fields[0]]
             entry.end, entry.retry = fields[1], fields[2]
+        elif kind == "bind":
+            for number in fields[3]:
+                entry = self.entries[number]
+                entry.effect, entry.group, entry.window = fields[:3]
+        elif kind == "names":
+            self.rename(fields[0])
         elif kind == "over":
             for number in fields:
                 self.forget(number)
         else:
             raise ValueError(f"unknown kind {kind!r}")
 
+    def rename(self, names: dict[str, int]) -> None:
+        """Messages follow their destination's name where it has got another number."""
+        moved = {old: names[name] for name, old in self.names.items() if names.get(name, old) != old}
+        for entry in self.entries.values() if moved else ():
+            entry.destination = moved.get(entry.destination, entry.destination)
+        self.names = dict(names)
+
     def forget(self, number: int) -> None:
         if entry := self.entries.pop(number, None):
             self.live -= self.sizes.pop(number)
@@ -146,6 +163,14 @@
     def begin(self, entries: Iterable[Entry], now: float, zone: int) -> bool:
         return self.write([["begin", now, zone, [[e.number, e.attempts] for e in entries]]])
 
+    def bind(self, entries: list[Entry], effect: int, group: str, window: float) -> None:
+        """A class became stricter while these are held."""
+        self.write([["bind", effect, group, window, [entry.number for entry in entries]]], must=True)
+
+    def name(self, names: dict[str, int]) -> bool:
+        """The destinations' names and numbers from now on; one record: no crash moves a message twice."""
+        return names == self.names or self.write([["names", names]])
+
     def results(self, outcomes: list[tuple[Entry, Outcome]]) -> None:
         """Outcomes of attempts that leave their messages owed."""
         owed = [(entry.number, int(outcome)) for entry, outcome in outcomes if entry.number in self.entries]
@@ -161,7 +186,8 @@
         """Append and apply; with `must` the change is made also where the disk has no room for its record."""
         if not records:
             return True
-        data = b"\n" * self.torn + b"".join(line(record) for record in records)
+        # Guards against a refused record that lacks its line's end alone: a bare end would make it count.
+        data = b"~\n" * self.torn + b"".join(line(record) for record in records)
         kept = True
         try:
             self.append(self.file, data)
@@ -189,6 +215,7 @@
         """A new file with what still counts takes the old one's place at once, whole."""
         self.ended = {name: until for name, until in self.ended.items() if until > now}
         records = [["next", self.next], *(["seen", *item] for item in self.ended.items())]
+        records += [["names", self.names]] if self.names else []
         data = b"".join(line(r) for r in [*records, *(e.record() for e in self.entries.values())])
         try:
             file = os.open(self.fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
