--- a/rainpier/config/check.py
+++ b/rainpier/config/check.py
@@ -252,7 +252,7 @@
                 f,
                 ("destination", name, "endpoints", 0),
             )
-        if e.zone and e.zone not in f.model.fleet.zones:
+        if e.zone and e.zone not in f.model.fleet.zones and not f.bad("fleet", "zones"):
             f.add("E307", (*at, "zone"), f"zone {e.zone!r} is not declared", "add it to fleet.zones")
         if own and e.address == own:
             f.add(
--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -5,6 +5,7 @@
 No input or output.
 """
 
+import os
 from collections.abc import Iterator
 from dataclasses import MISSING, dataclass, field, fields
 from pathlib import Path
@@ -293,4 +294,4 @@
 def path_of(model: Model, text: str) -> Path:
     """A path of the file: relative ones count from the file's own folder."""
     base = model.file.parent if model.file else Path()
-    return (base / Path(text).expanduser()).absolute()
+    return Path(os.path.normpath((base / Path(text).expanduser()).absolute()))
--- a/rainpier/config/read.py
+++ b/rainpier/config/read.py
@@ -85,6 +85,7 @@
     def build(self) -> Loaded:
         for mistake in self.document.mistakes:
             self.out.add("E102" if mistake.doubled else "E101", mistake.place, mistake.text)
+        self.spoilt = {mistake.place.line for mistake in self.document.mistakes if not mistake.doubled}
         top, out = self.document.table, self.out
         for name, item in top.items.items():
             if name not in TOP:
@@ -112,8 +113,12 @@
                 "E111", item.place, f"version {shown(plain(item))} is not known", f"write {m.VERSION}"
             )
 
+    def unsure(self, table: Table, place: Place) -> bool:
+        """Behind a mistake of form, or in its line, nothing can be said to be wrong."""
+        return place.line in self.spoilt or 0 < table.broken <= place.line
+
     def unknown(self, table: Table, name: str, names: tuple[str, ...], where: str) -> None:
-        if table.broken:
+        if self.unsure(table, table.names[name]):
             return
         close = near(name, names)
         hint = f"did you mean {close!r}?" if close else f"known are {', '.join(sorted(names))}"
@@ -129,7 +134,7 @@
             self.out.add(
                 "E107", Place(1, 1), f"the file has no [{name}]", f"it has to give {', '.join(needed)}"
             )
-        return self.fill(Table(Place(1, 1), broken=True), kind, (name,), "")
+        return self.fill(Table(Place(1, 1), broken=1), kind, (name,), "")
 
     def named(self, top: Table, name: str, kind: type) -> dict[str, Any]:
         table, found = top.items.get(name), {}
@@ -165,15 +170,16 @@
         for name, item in table.items.items():
             if name not in names:
                 self.unknown(table, name, names, text)
+                self.out.unread.add((*where, near(name, names)))  # most likely meant, so not missing
             elif name == "endpoints" and kind is m.Destination:
                 self.out.names[(*where, name)] = table.names[name]
                 values[name] = self.endpoints(item, (*where, name))
             else:
-                self.value(item, known[name], (*where, name), values, name)
+                self.value(item, known[name], (*where, name), values, name, self.unsure(table, item.place))
         for name, _, default in m.settings_of(kind):
             if default is MISSING and name not in values:
-                mistyped = any(near(other, names) == name for other in table.items if other not in names)
-                if name not in table.items and not table.broken and self.out.whole and not mistyped:
+                told = name in table.items or self.out.bad(*where, name) or table.broken
+                if not told and self.out.whole:
                     self.out.add(
                         "E107",
                         self.out.place(where),
@@ -183,12 +189,17 @@
                 values[name] = None  # not judged further: its own mistake is told
         return kind(**values)
 
-    def value(self, item: Item, setting: m.Setting, where: Where, values: dict[str, Any], name: str) -> None:
+    def value(
+        self, item: Item, setting: m.Setting, where: Where, values: dict[str, Any], name: str,
+        unsure: bool = False,
+    ) -> None:  # fmt: skip
         self.out.places[where] = item.place
         try:
             values[name] = setting.type.read(plain(item))
         except Wrong as wrong:
             self.out.unread.add(where)
+            if unsure:
+                return
             self.out.add(wrong.code, self.culprit(item, setting), str(wrong), wrong.hint)
 
     def culprit(self, item: Item, setting: m.Setting) -> Place:
--- a/rainpier/config/toml.py
+++ b/rainpier/config/toml.py
@@ -51,7 +51,8 @@
     names: dict[str, Place] = field(default_factory=dict)  # of each name
     headed: bool = False  # has a [header] of its own
     closed: bool = False  # written inline: nothing can be added
-    broken: bool = False  # holds a mistake: what follows may belong elsewhere
+    dotted: bool = False  # made by a dotted name: a header can't open it again
+    broken: int = 0  # line of its first mistake: what follows may belong elsewhere
 
 
 Item = Value | Array | Table
@@ -133,7 +134,7 @@
         self.mistakes.append(Mistake(place, text, True, first))
 
     def broken(self, node: tree_sitter.Node, table: Table) -> None:
-        table.broken = True
+        table.broken = min(table.broken or node.start_point[0] + 1, node.start_point[0] + 1)
         text = (node.text or b"").decode("utf-8", "replace").split("\n")[0].strip()
         self.wrong(self.place(node), f"not TOML: {text[:60]!r}" if text else "not TOML")
 
@@ -196,7 +197,7 @@
             else:
                 there.items.append(fresh)
             return fresh
-        if isinstance(there, Table) and not (many or there.headed or there.closed):
+        if isinstance(there, Table) and not (many or there.headed or there.closed or there.dotted):
             there.headed, there.place = True, place
             table.names[name] = place
             return there
@@ -210,7 +211,7 @@
         """The table of that name inside another, made where there is none; None: it is something else."""
         item = table.items.get(name)
         if item is None:
-            item = table.items[name] = Table(place)
+            item = table.items[name] = Table(place, dotted=not header)
             table.names[name] = place
         if header and isinstance(item, Array) and item.of_tables:
             item = item.items[-1]
--- a/rainpier/config/write.py
+++ b/rainpier/config/write.py
@@ -192,10 +192,10 @@
         at = origin(f, (*where, name))
         if name in derived and (value is None or value == ""):
             value, at = derived[name], f"# default: {setting.shown_default}"
-        if value is None:
-            yield f"# {name} is not set", at
+        if value is None or value and secret:
+            yield f"# {name} is {'set, and not shown' if secret else 'not set'}", at
         else:
-            yield f"{name} = {quoted('***') if secret and value else setting.type.write(value)}", at
+            yield f"{name} = {setting.type.write(value)}", at
 
 
 def endpoint_rows(f: Loaded, dest: m.Destination, where: Where) -> Iterator[tuple[str, str]]:
