--- /dev/null
+++ b/tests/test_handshake.py
@@ -0,0 +1,260 @@
+"""Stock RESP clients with their defaults: redis-py as it comes, and the recorded openings of others."""
+
+import asyncio
+import re
+
+import pytest
+import redis
+from peers import Agent, Client, HttpPeer, command, drive, host, put
+from test_node import sender
+
+from rainpier.fronts.resp.server import Clients
+from rainpier.fronts.resp.session import COMMANDS, MOST_WRONG
+
+
+async def serve(put=lambda put: b"+OK\r\n", password="", most=100):
+    clients = Clients(put, most, password)
+    await clients.listen(("127.0.0.1", 0))
+    return clients
+
+
+def with_redis(work, **options):
+    """Runs the blocking work of a redis-py client, unchanged, in a thread beside the server."""
+
+    async def story():
+        taken = []
+
+        def take(put):
+            taken.append(put)
+            return b"-BUSY 250\r\n" if put.id == "no" else b"+OK\r\n"
+
+        server = await serve(take, options.get("password", "") or "")
+        client = redis.Redis(port=server.port, **options)
+        await asyncio.to_thread(work, client, taken)
+        await asyncio.to_thread(client.close)
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def hand_in(client, name, **fields):
+    listed = ",".join(f"{k}={v}" for k, v in ({"c": "safe", "d": 1000, "dest": 3} | fields).items())
+    return client.execute_command("MSG.PUT", "0" * 16, name, listed, b"body\r\n\x00")
+
+
+@pytest.mark.parametrize("options", [{}, {"protocol": 3}, {"password": "correct-horse"}, {"password": "correct-horse", "protocol": 3},
+                                     {"client_name": "uploader", "db": 0}, {"decode_responses": True}])  # fmt: skip
+def test_redis_py_hands_messages_in(options):
+    def work(client, taken):
+        assert client.ping()
+        assert hand_in(client, "one") in (b"OK", "OK")
+        assert taken[-1].id == "one" and taken[-1].body == b"body\r\n\x00"
+        with pytest.raises(redis.ResponseError, match="BUSY 250"):
+            hand_in(client, "no")
+        assert client.echo("hello") in (b"hello", "hello")
+        assert client.info("server")["redis_mode"] == "standalone"
+        assert client.client_id() > 0
+        assert client.command_count() == len(COMMANDS)
+        assert client.select(0)
+        with pytest.raises(redis.ResponseError, match="unknown command"):
+            client.get("x")
+
+    with_redis(work, **options)
+
+
+def test_a_redis_py_pipeline_is_answered_in_order():
+    def work(client, taken):
+        with client.pipeline(transaction=False) as pipe:
+            for n in range(300):
+                pipe.execute_command("MSG.PUT", "0" * 16, f"m{n}", "c=safe,d=1000,dest=3", b"x")
+            assert pipe.execute() == [b"OK"] * 300
+        assert [put.id for put in taken] == [f"m{n}" for n in range(300)]
+
+    with_redis(work)
+
+
+def test_redis_py_reset_and_pool():
+    def work(client, taken):
+        connection = client.connection_pool.get_connection("PING")
+        connection.send_command("RESET")
+        assert connection.read_response() == b"RESET"
+        client.connection_pool.release(connection)
+        assert hand_in(client, "after") == b"OK"
+        client.connection_pool.disconnect()
+        assert hand_in(client, "again") == b"OK"
+
+    with_redis(work)
+
+
+def test_redis_pys_asyncio_client_hands_messages_in():
+    async def story():
+        server = await serve()
+        client = redis.asyncio.Redis(port=server.port, protocol=3)
+        answers = await asyncio.gather(*(hand_in(client, f"m{n}") for n in range(50)))
+        assert answers == [b"OK"] * 50
+        await client.aclose()
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def test_a_wrong_password_is_refused_by_redis_py():
+    async def story():
+        server = await serve(password="correct-horse")
+
+        def work():
+            with pytest.raises(redis.AuthenticationError):
+                redis.Redis(port=server.port, password="wrong-one").ping()
+            with pytest.raises(redis.AuthenticationError):
+                redis.Redis(port=server.port).ping()
+
+        await asyncio.to_thread(work)
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+# What clients in other languages send by themselves, as their sources and captures have it, and the first bytes of
+# each reply. Redis serialization protocol; replies that a client may ignore are marked by None.
+OPENINGS = {
+    "go-redis 9": [
+        (("hello", "3"), rb"%7\r\n"), (("client", "setinfo", "LIB-NAME", "go-redis(,go1.22.1)"), rb"\+OK"),
+        (("client", "setinfo", "LIB-VER", "9.5.1"), rb"\+OK"), (("ping",), rb"\+PONG"),
+    ],
+    "go-redis 9.11, which probes for maintenance notices": [
+        (("hello", "3"), rb"%7\r\n"), (("client", "maint_notifications", "on", "moving-endpoint-type", "none"), rb"-ERR unknown"),
+        (("client", "setinfo", "LIB-NAME", "go-redis"), rb"\+OK"),
+    ],
+    "jedis 5": [
+        (("CLIENT", "SETINFO", "LIB-NAME", "jedis"), rb"\+OK"), (("CLIENT", "SETINFO", "LIB-VER", "5.1.0"), rb"\+OK"),
+        (("PING",), rb"\+PONG"),
+    ],
+    "lettuce 6": [
+        (("HELLO", "3"), rb"%7\r\n"), (("CLIENT", "SETINFO", "lib-name", "Lettuce"), rb"\+OK"),
+        (("CLIENT", "SETINFO", "lib-ver", "6.3.2.RELEASE/941aa60"), rb"\+OK"), (("PING",), rb"\+PONG"),
+    ],
+    "ioredis 5": [(("info",), rb"\$\d+\r\n# Server"), (("client", "setinfo", "LIB-NAME", "ioredis"), rb"\+OK")],
+    "node-redis 4": [
+        (("HELLO", "2"), rb"\*14\r\n"), (("CLIENT", "SETINFO", "LIB-NAME", "node-redis"), rb"\+OK"),
+        (("CLIENT", "SETINFO", "LIB-VER", "4.6.13"), rb"\+OK"), (("SELECT", "0"), rb"\+OK"),
+    ],
+    "redis-rs": [
+        (("HELLO", "3", "SETNAME", "worker-1"), rb"%7\r\n"), (("CLIENT", "SETINFO", "LIB-NAME", "redis-rs"), rb"\+OK"),
+        (("CLIENT", "GETNAME"), rb"\$8\r\nworker-1"),
+    ],
+    "StackExchange.Redis 2": [
+        (("CLIENT", "SETNAME", "host-7(SE.Redis-v2.7)"), rb"\+OK"), (("CLIENT", "SETINFO", "lib-name", "SE.Redis"), rb"\+OK"),
+        (("CLIENT", "ID"), rb":\d+"), (("CONFIG", "GET", "slave-read-only"), rb"\*0\r\n"), (("CONFIG", "GET", "databases"), rb"\*0\r\n"),
+        (("INFO", "replication"), rb"\$\d+\r\n"), (("INFO", "server"), rb"\$\d+\r\n"), (("CLUSTER", "NODES"), rb"-ERR unknown command"),
+        (("ECHO", "\x01\x02guid"), rb"\$6\r\n\x01\x02guid"),
+    ],
+    "redis-cli 7": [(("HELLO", "3"), rb"%7\r\n"), (("COMMAND", "DOCS"), rb"%0\r\n"), (("COMMAND", "INFO", "nosuch"), rb"\*1\r\n_\r\n")],
+    "redis-cli 6": [(("COMMAND",), rb"\*12\r\n\*6\r\n"), (("COMMAND", "COUNT"), rb":12\r\n"), (("COMMAND", "INFO", "nosuch"), rb"\*1\r\n\*-1\r\n")],
+    "phpredis": [(("SELECT", "0"), rb"\+OK"), (("SELECT", "1"), rb"-ERR DB index"), (("ECHO", "x"), rb"\$1\r\nx")],
+    "hiredis": [(("PING", "x"), rb"\$1\r\nx"), (("QUIT",), rb"\+OK")],
+}  # fmt: skip
+
+
+async def raw(reader, writer, *words):
+    writer.write(command(*words))
+    told = await asyncio.wait_for(reader.read(65536), 5)
+    return told
+
+
+@pytest.mark.parametrize("name", list(OPENINGS))
+def test_an_opening_is_answered_and_a_message_taken_after_it(name):
+    async def story():
+        server = await serve()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        for words, expected in OPENINGS[name]:
+            assert re.match(expected, await raw(reader, writer, *words)), words
+        if name != "hiredis":
+            writer.write(put("one"))
+            assert await reader.readexactly(5) == b"+OK\r\n"
+        else:
+            assert await reader.read() == b""  # QUIT: closed after its answer
+        writer.close()
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def test_openings_sent_at_once_with_a_message_are_answered_in_order():
+    async def story():
+        server = await serve()
+        async with Client(server.port) as client:
+            client.writer.write(command("CLIENT", "SETNAME", "x") + command("SELECT", "0") + put("one") + command("ECHO", "end"))
+            assert [await client.answer() for _ in range(4)] == ["OK", "OK", "OK", "end"]
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def test_what_comes_behind_a_quit_is_not_read():
+    async def story():
+        taken = []
+        server = await serve(lambda put: taken.append(put) or b"+OK\r\n")
+        async with Client(server.port) as client:
+            client.writer.write(put("one") + command("QUIT") + put("two") + command("PING"))
+            assert [await client.answer() for _ in range(3)] == ["OK", "OK", None]
+            assert [put.id for put in taken] == ["one"]
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def test_without_the_password_nothing_is_taken_and_guesses_are_bounded():
+    async def story():
+        taken = []
+        server = await serve(lambda put: taken.append(put) or b"+OK\r\n", password="correct-horse")
+        async with Client(server.port) as client:
+            for ask in (put("one"), command("PING"), command("INFO"), command("CLIENT", "ID"), command("NOSUCH")):
+                assert (await client.ask(ask)).startswith("-NOAUTH")
+            assert (await client.ask(command("HELLO", "3"))).startswith("-NOAUTH")
+            assert (await client.ask(command("AUTH", "other", "correct-horse"))).startswith("-WRONGPASS")
+            assert await client.ask(command("AUTH", "default", "correct-horse")) == "OK"
+            assert await client.ask(put("two")) == "OK"
+            assert await client.ask(command("RESET")) == "RESET"
+            assert (await client.ask(put("three"))).startswith("-NOAUTH")
+        async with Client(server.port) as client:
+            for _ in range(MOST_WRONG):
+                assert (await client.ask(command("AUTH", "guess-guess"))).startswith("-WRONGPASS")
+            assert await client.answer() is None
+        assert [put.id for put in taken] == ["two"]
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+@pytest.mark.parametrize(("words", "said"), [
+    (("HELLO", "4"), "-NOPROTO"), (("HELLO", "x"), "-ERR Protocol version"), (("HELLO", "3", "NOSUCH"), "-ERR syntax"),
+    (("HELLO", "3", "AUTH", "a"), "-ERR syntax"), (("HELLO", "3", "SETNAME", "a b"), "-ERR Client names"),
+    (("AUTH", "x"), "-ERR AUTH"), (("AUTH",), "-ERR wrong number"), (("CLIENT",), "-ERR wrong number"),
+    (("CLIENT", "KILL", "x"), "-ERR unknown subcommand"), (("CLIENT", "SETINFO", "x", "y"), "-ERR Unrecognized"),
+    (("CLIENT", "SETNAME", "x" * 200), "-ERR Client names"), (("SELECT", "1"), "-ERR DB index"), (("SELECT",), "-ERR wrong"),
+    (("ECHO",), "-ERR wrong"), (("RESET", "x"), "-ERR wrong"), (("CONFIG", "SET", "a", "b"), "-ERR CONFIG"), (("COMMAND", "x"), "-ERR unknown"),
+    (("GET", "x"), "-ERR unknown command"), (("", ), "-ERR unknown command"),
+])  # fmt: skip
+def test_what_is_wrong_is_named_and_the_connection_goes_on(words, said):
+    async def story():
+        server = await serve()
+        async with Client(server.port) as client:
+            assert (await client.ask(command(*words))).startswith(said)
+            assert await client.ask(command("PING")) == "PONG"
+        await server.close(within=1.0)
+
+    drive(story())
+
+
+def test_the_protocols_exchange_is_byte_for_byte_what_it_was(tmp_path):
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node:
+                reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+                writer.write(command("PING") + put("one") + command("NOSUCH") + put("two", cls="nosuch"))
+                told = b"+PONG\r\n+OK\r\n-ERR unknown command 'NOSUCH'\r\n-ERR unknown class nosuch\r\n"
+                assert await asyncio.wait_for(reader.readexactly(len(told)), 5) == told
+                writer.close()
+
+    drive(story())
