Document the sidecar, and give a new user make demo, make test and a tutorial that is tested

Change: README with two commands and five minutes of tutorial (a test runs its very commands), the design note with the options weighed, the operators' page, the generated reference, an operator's example, changelog and roadmap; rainpier receive, a stand-in endpoint to try with; an edit tells the policy only what changed.

--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -348,7 +348,21 @@
         new.destinations = [write.NewDestination("example", 1, ["127.0.0.1:8080"])]
 
 
-# --- demo ---
+# --- demo, receive ---
+
+
+@main.command()
+@click.option("--port", default=8080, show_default=True, type=click.IntRange(0, 65535))
+def receive(port: int) -> None:
+    """A stand-in endpoint on 127.0.0.1 that takes every message and prints it, to try a sidecar with."""
+    from ..demo.receivers import print_messages
+
+    try:
+        asyncio.run(print_messages(port, lambda text: click.echo(text)))
+    except KeyboardInterrupt:
+        return
+    except OSError as error:
+        fail(str(error), MISTAKES)
 
 
 @main.command()
--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -6,8 +6,8 @@
 """
 
 import os
-from collections.abc import Iterator
 from dataclasses import MISSING, dataclass, field, fields
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -268,11 +268,11 @@
 DEFAULT_KIND = "single"
 
 
-def settings_of(section: type) -> Iterator[tuple[str, Setting, Any]]:
+@cache
+def settings_of(section: type) -> tuple[tuple[str, Setting, Any], ...]:
     """Name, setting and default of each; MISSING where it has to be given."""
-    for entry in fields(section):
-        if "setting" in entry.metadata:
-            yield entry.name, entry.metadata["setting"], entry.default
+    told = (entry for entry in fields(section) if "setting" in entry.metadata)
+    return tuple((entry.name, entry.metadata["setting"], entry.default) for entry in told)
 
 
 def effective(name: str, cls: Class) -> tuple[bool, bool, bool]:
--- a/rainpier/config/toml.py
+++ b/rainpier/config/toml.py
@@ -117,6 +117,9 @@
     def place(self, node: tree_sitter.Node) -> Place:
         (row, at), (last, end) = node.start_point, node.end_point
         line = self.lines[row] if row < len(self.lines) else ""
+        if line.isascii():  # bytes are characters
+            until = end if last == row else len(line.rstrip())
+            return Place(row + 1, at + 1, max(1, until - at))
         column = len(line.encode()[:at].decode("utf-8", "ignore"))
         until = len(line.encode()[:end].decode("utf-8", "ignore")) if last == row else len(line.rstrip())
         return Place(row + 1, column + 1, max(1, until - column))
--- a/rainpier/config/watch.py
+++ b/rainpier/config/watch.py
@@ -97,11 +97,12 @@
                 if not self.watched.look(self.seen()):
                     continue
             self.asked.clear()
-            self.load()
+            await self.load()
 
-    def load(self) -> Outcome:
+    async def load(self) -> Outcome:
         try:
-            loaded = check_text(read_text(self.path), str(self.path))
+            # In a thread: a file of thousands of destinations takes seconds to check, and messages go on.
+            loaded = await asyncio.to_thread(lambda: check_text(read_text(self.path), str(self.path)))
         except Unreadable as error:
             self.last = Outcome(time.time(), "rejected", [f"{self.path}: {error}"])
         else:
--- a/rainpier/demo/receivers.py
+++ b/rainpier/demo/receivers.py
@@ -185,3 +185,30 @@
             self.tasks -= 1
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(told)
+
+
+class Printer(Receiver):
+    """Takes every message and says so."""
+
+    def __init__(self, say: Callable[[str], None]) -> None:
+        super().__init__("printer", Ledger(), Behaviour(0.0), 0)
+        self.say = say
+
+    async def handle(self, headers: dict[str, str], body: bytes) -> bytes:
+        messages = read_messages(headers, body)
+        for message, token, content in messages:
+            self.say(
+                f"{message}{' key ' + token if token else ''}: {content[:200].decode('utf-8', 'replace')}"
+            )
+        if len(messages) == 1:
+            return answer(200, b"")
+        return answer(200, json.dumps([{"id": m, "state": "delivered"} for m, _, _ in messages]).encode())
+
+
+async def print_messages(port: int, say: Callable[[str], None]) -> None:
+    """Until it is stopped; OSError where the port is taken."""
+    printer = Printer(say)
+    printer.port = port
+    await printer.start()
+    say(f"takes messages on 127.0.0.1:{printer.port}")
+    await asyncio.get_running_loop().create_future()
--- a/rainpier/membership/file.py
+++ b/rainpier/membership/file.py
@@ -1,6 +1,7 @@
 """Endpoints of a configuration file: the whole list at the start, and again after each edit."""
 
 import asyncio
+from dataclasses import replace
 
 from ..config import model as m
 from ..config.types import write_address
@@ -32,14 +33,17 @@
 
     def start(self, told: Told) -> None:
         self.told = told
-        self.set(self.listed)
+        told(ListKind.FULL, self.listed)
+        self.whole.set()
 
     def set(self, listed: list[Host]) -> None:
-        """The list from now on: what it lacks is gone."""
+        """The list from now on: what changed is told, and what it lacks is gone."""
+        before, after = ({host.name: host for host in some} for some in (self.listed, listed))
+        changed = [host for host in listed if before.get(host.name) != host]
+        gone = [replace(before[name], health=Condition.GONE) for name in before if name not in after]
         self.listed = listed
-        if self.told is not None:
-            self.told(ListKind.FULL, listed)
-            self.whole.set()
+        if self.told is not None and changed + gone:
+            self.told(ListKind.DELTA, changed + gone)
 
     def close(self) -> None:
         self.told = None
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -448,7 +448,8 @@
         rate = host.share if self.config.rated else None
         listed = i.Listed(number, host.block, zone, self.kinds[host.kind], host.health, rate, host.born)
         self.receivers.update(listed, host.name, dial)
-        self.destinations.add(host.block)
+        if host.health is not i.Condition.GONE:
+            self.destinations.add(host.block)
         return listed
 
     def number(self, host: Host) -> int | None:
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -1,14 +1,53 @@
-"""The README's example runs, and the decision module keeps its size."""
+"""What the documents show works, and the decision module keeps its size."""
 
+import contextlib
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
+from rainpier.config.check import check_text
+
+ENV = os.environ | {"PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}", "PYTHONUNBUFFERED": "1"}
 ROOT = Path(__file__).parent.parent
 
 
-def test_readme_example_runs():
-    (example,) = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
-    exec(compile(example, "README.md", "exec"), {})
+def test_the_modules_example_runs():
+    (example,) = re.findall(r"```python\n(.*?)```", (ROOT / "docs/design/decisions.md").read_text(), re.S)
+    exec(compile(example, "decisions.md", "exec"), {})
+
+
+def test_the_tutorial_of_the_readme_works_from_init_to_a_delivered_message(tmp_path):
+    """Its very commands, but for the ports, which have to be free."""
+    text = (ROOT / "README.md").read_text()
+    first, second = re.findall(r"```sh\n(.*?)```", text, re.S)
+    (example,) = re.findall(r"```python\n(.*?)```", text, re.S)
+    receive, run = second.splitlines()
+    with contextlib.ExitStack() as stack:
+        receiver = started(stack, receive.replace("8080", "0"), tmp_path)
+        port = re.search(r":(\d+)", receiver.stdout.readline())[1]
+        done = subprocess.run(["sh", "-ec", first.replace("8080", port)], cwd=tmp_path, env=ENV, capture_output=True, text=True)
+        assert done.returncode == 0 and "0 mistakes" in done.stdout, done.stdout + done.stderr
+        file = tmp_path / "shop.toml"
+        file.write_text(file.read_text().replace("127.0.0.1:6379", "127.0.0.1:0"))
+        sidecar = started(stack, run, tmp_path)
+        while not (found := re.search(r"serves on 127.0.0.1:(\d+)", line := sidecar.stderr.readline())):
+            assert line
+        exec(compile(example.replace("6379", found[1]), "README.md", "exec"), {})
+        assert receiver.stdout.readline() == "order-1 key token-1: render video 7\n"
+
+
+def started(stack, words, folder):
+    process = subprocess.Popen(words.split(), cwd=folder, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    stack.callback(process.wait)
+    stack.callback(process.kill)
+    return process
+
+
+def test_the_operators_example_passes_the_check_without_a_word():
+    path = ROOT / "deploy/sidecar.example.toml"
+    assert [str(p) for p in check_text(path.read_text(), path.name).problems] == []
 
 
 def test_policy_fits():
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -243,6 +243,31 @@
     drive(story())
 
 
+def test_a_class_that_was_unsafe_for_a_while_binds_over_a_restart(tmp_path):
+    """Safe, then unsafe by an edit, then safe again at the next start: the message stays unsafe."""
+
+    async def story():
+        came = asyncio.Event()
+
+        def hangs(request, body):
+            came.set()
+            return never(request, body)
+
+        async with HttpPeer(hangs) as receiver:
+            where = {"a": (1, [receiver.dial])}
+            async with Sidecar(tmp_path, text(where)) as sidecar, Client(sidecar.port) as client:
+                assert await client.ask(put("one", dest=1)) == "OK"
+                await came.wait()
+                assert (await sidecar.reload(text(where, changed("safe", 'effect = "unsafe"'))))["result"] == "applied"
+                await sidecar.kill()
+            async with Sidecar(tmp_path, text(where)) as sidecar:
+                await sidecar.until(lambda told: not told["held"])
+            assert [end["outcome"] for end in sidecar.ends()] == ["given_up"]
+            assert receiver.requests.qsize() == 1
+
+    drive(story())
+
+
 @pytest.mark.parametrize("restart", [False, True])
 def test_a_removed_destinations_messages_get_their_end_at_once(tmp_path, restart):
     """What never ran is handed back, what may have run is given up; what is for others goes on."""
