--- a/benchmarks/store_pauses.py
+++ b/benchmarks/store_pauses.py
@@ -77,8 +77,8 @@
             again.close()
             gc.unfreeze()
             print(f"{live / MB:.0f} MB live in the {name}: longest round {times[-1] * 1000:.1f} ms, 99.9 % "
-                  f"{times[int(len(times) * 0.999)] * 1000:.2f} ms, {compacted} copies; recovery {recovery:.2f} s; "
-                  f"{held:.0f} bytes a message beside its body")  # fmt: skip
+                  f"{times[int(len(times) * 0.999)] * 1000:.2f} ms, {compacted} copies; "
+                  f"recovery {recovery:.2f} s; {held:.0f} bytes a message beside its body")  # fmt: skip
     return longest["store"], longest["journal"]
 
 
--- a/rainpier/config/codes.py
+++ b/rainpier/config/codes.py
@@ -121,8 +121,8 @@
     ),
     "E404": (
         "disk does not fit",
-        "Held messages stand in the store and may fill three tenths of the disk; the rest is for their copies "
-        "and their progress.",
+        "Held messages stand in the store and may fill three tenths of the disk; the rest is for their "
+        "copies and their progress.",
     ),
     "E405": ("usual body above the largest", "typical_body can't be longer than largest_body."),
     "E501": ("drain grace above 500 ms", "Nothing new may be sent later than 500 ms after drain word."),
