--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -140,6 +140,8 @@
     if not paths:
         return fail("name at least one file or folder", UNREADABLE)
     texts, unread = [], []
+    for folder in [path for path in paths if path.is_dir() and not list(path.glob("*.toml"))]:
+        unread.append((str(folder), "no *.toml in this folder"))  # which must not look like no mistakes
     for path in checking.find(paths):
         try:
             texts.append((str(path), read_text(path)))
