--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -29,8 +29,8 @@
 BLOCK = 512  # bytes in which each file counts
 SEGMENTS = 16  # of the disk: so many segments fill it
 LEAST_SEGMENT, MOST_SEGMENT = 16 << 10, 4 << 20  # bytes
-# Of the disk, for owed messages: the rest is for copies of them and their progress. As many as the journal of
-# 0.1.0 took on: with half of the disk more were held for longer, and delivered late (bench, day reload).
+# Of the disk, for owed messages: the rest is for their copies and their progress. As much as the journal of
+# 0.1.0 took on of the same disk: what is held beyond that is for the most part delivered late.
 LIVE_SHARE = 0.3
 ENDED, ENDED_SHARE = 60, 0.05  # bytes for the memory of an id that is over; share of the disk for all of them
 PROGRESS = 160  # bytes of a message's record beside body, id and token, its progress and its end included
