Test two promises of the store that no test would have missed

Need: broken on purpose, two lines went unnoticed: what waits for room could be passed by an attempt, and a drain told during an attempt's fsync was not looked at again. Change: a test for each; the program is unchanged.

--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -454,8 +454,10 @@
     told = []
     store.end(a, "given_up", 0, lambda: told.append("a"))
     assert not told and not store.begin([b], 2000.0, 0) and not store.take(entry(store, "c")) and not store.room(b"")
+    disk.room = None  # there is room again, and what waits was not tried yet: nothing passes it
+    assert not store.begin([b], 2000.0, 0) and not store.take(entry(store, "c")) and store.waiting
     store.over([b])
-    disk.room = None
+    assert not told
     store.tidy(3000.0)
     assert told == ["a"] and not store.waiting
     back = again(store)
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -148,6 +148,27 @@
     drive(story())
 
 
+def test_a_drain_that_is_told_during_the_fsync_of_an_attempt_holds_it_back(tmp_path, slow):
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            node, stop = await begin(tmp_path, agent, machine=True)
+            async with Client(node.port) as client:
+                slow.go.clear()
+                asked = asyncio.create_task(client.ask(put("one", cls="unsafe")))
+                await until(lambda: any(entry.begun for entry in node.store.entries.values()))
+                agent.change(host("r1", receiver.dial, health="DRAINING"))
+                await until(lambda: node.receivers.listed[1].told_at < 1e12)
+                await asyncio.sleep(0.35)  # beyond half of the drain grace
+                slow.go.set()
+                assert await asked == "OK"
+                await until(lambda: all(not e.begun and not e.risky_at for e in node.store.entries.values()))
+                assert receiver.requests.empty() and node.store.entries  # it never ran, and is still owed
+            await stop()
+
+    drive(story())
+
+
 def test_many_promises_share_an_fsync(tmp_path, slow):
     async def story():
         async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
