--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -38,7 +38,7 @@
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
     log.info("%d slots, %d descriptors, %d bytes of disk", node.s.slots, config.sockets, config.disk)
     await stop.wait()
-    await finish(node, clients, loop.time())
+    await finish(node, [clients], loop.time())
     reloading.cancel()
 
 
--- /dev/null
+++ b/rainpier/carriers/amqp/__init__.py
@@ -0,0 +1,1 @@
+"""AMQP 0-9-1 carrier: endpoints that are brokers."""
--- /dev/null
+++ b/rainpier/carriers/amqp/brokers.py
@@ -0,0 +1,219 @@
+"""Endpoints that are brokers: each has one kept connection, over which all its calls are published."""
+
+import asyncio
+import logging
+from collections.abc import Mapping
+
+from pamqp import commands
+
+from ... import interface as i
+from ...store.entry import Entry
+from ..http.receivers import NO_DESCRIPTOR, Call, Ending, MayWrite
+from .link import Link, NoLink, connect
+from .options import BrokerOptions
+from .outcomes import TABLE, Lane, Publish, What
+
+log = logging.getLogger(__name__)
+BLOCKED_WAIT = 250.0  # ms that a blocked broker is left alone before the next look
+LOGGED = 5.0  # s between log lines about one broker that can't be reached
+
+
+class Unsent(Exception):
+    """Nothing of the call was written."""
+
+    def __init__(self, what: What, wait: float = 0.0) -> None:
+        super().__init__(what.value)
+        self.what, self.wait = what, wait
+
+
+class Broker:
+    """One endpoint."""
+
+    def __init__(self, settings: i.Settings, options: BrokerOptions, address: tuple[str, int]) -> None:
+        self.s, self.options, self.address = settings, options, address
+        self.loop = asyncio.get_running_loop()
+        self.link: Link | None = None
+        self.links: set[Link] = set()  # those that are retiring too
+        self.connecting: asyncio.Task[Link] | None = None
+        self.logged = -LOGGED
+
+    # --- the connection ---
+
+    def move(self, address: tuple[str, int], ready: bool) -> None:
+        """What the list says now: a broker that drains gets nothing more, its confirms are awaited."""
+        if self.link is not None and (not ready or address != self.address):
+            link, self.link = self.link, None
+            link.retire()
+        self.address = address
+
+    def close(self) -> None:
+        if self.connecting is not None:
+            self.connecting.cancel()
+        for link in list(self.links):
+            link.abort()
+        self.link = None
+
+    def ended(self, link: Link) -> None:
+        self.links.discard(link)
+        if self.link is link:
+            self.link = None
+
+    async def connected(self) -> Link:
+        """The kept connection, or a new one: one at a time, which all calls wait for."""
+        if self.link is not None and not self.link.over:
+            return self.link
+        if self.connecting is None or self.connecting.done():
+            self.connecting = self.loop.create_task(self.dial(self.address))
+            self.connecting.add_done_callback(lambda task: task.cancelled() or task.exception())
+        return await asyncio.shield(self.connecting)
+
+    async def dial(self, address: tuple[str, int]) -> Link:
+        link = None
+        try:
+            async with asyncio.timeout(self.s.connect_timeout / 1000):
+                link = await connect(address, self.options, self.ended)
+                self.links.add(link)
+                await link.up()
+        except TimeoutError:
+            if link is not None:
+                link.abort()
+            raise NoLink("no connection in time") from None
+        if address == self.address:
+            self.link = link
+        return link
+
+    def complain(self, text: str) -> None:
+        if self.loop.time() - self.logged > LOGGED:
+            self.logged = self.loop.time()
+            log.warning("broker %s:%d: %s", *self.address, text)
+
+    # --- calls ---
+
+    async def run(self, call: Call, may_write: MayWrite) -> Ending:
+        """One attempt of each of the call's messages: their publishes, and the confirms until time is up."""
+        out: list[Publish] = []
+        try:
+            async with asyncio.timeout_at(call.until):
+                link, lanes = await self.ready(call, may_write)
+                out = self.publish(call, link, lanes)
+                await self.confirms(out)
+            return self.ending(out, What.OVERDUE)
+        except Unsent as unsent:
+            return self.unsent(call, unsent.what, unsent.wait)
+        except TimeoutError:
+            return self.ending(out, What.OVERDUE) if out else self.unsent(call, What.NO_CHANNEL)
+        except asyncio.CancelledError:  # called off: the task has nothing else to wait for
+            return self.ending(out, What.CALLED_OFF) if out else self.unsent(call, What.NOT_ALLOWED)
+        except Exception:
+            log.exception("publishing to %s:%d failed", *self.address)
+            return self.ending(out, What.CONNECTION_LOST) if out else self.unsent(call, What.LOST_UNWRITTEN)
+
+    async def confirms(self, out: list[Publish]) -> None:
+        """Until each has its outcome. Its cost is that of its own messages, whatever else is out."""
+        done = self.loop.create_future()
+        open_ones = [publish for publish in out if publish.what is None]
+        left = len(open_ones)
+
+        def settled() -> None:
+            nonlocal left
+            left -= 1
+            if not left and not done.done():
+                done.set_result(None)
+
+        for publish in open_ones:
+            publish.settled = settled
+        if open_ones:
+            await done
+
+    async def ready(self, call: Call, may_write: MayWrite) -> tuple[Link, list[Lane]]:
+        """A connection with the channels that the call needs, and leave to write. Unsent where not."""
+        try:
+            link = await self.connected()
+        except (OSError, NoLink) as error:
+            self.complain(str(error))
+            own = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
+            # Guards the module's view: a lack of this process's own says nothing of the broker.
+            raise Unsent(What.NO_ROOM if own else What.NOT_CONNECTED) from error
+        while self.lanes(call, link) is None:
+            await link.change()
+        self.look(link)
+        allowed = may_write(call)
+        if not (allowed if isinstance(allowed, bool) else await allowed):
+            raise Unsent(What.NOT_ALLOWED)
+        self.look(link)  # once more: leave may have taken a while
+        lanes = self.lanes(call, link)
+        if lanes is None:
+            raise Unsent(What.LOST_UNWRITTEN)
+        if any(lane.room <= 0 for lane in lanes):
+            raise Unsent(What.NO_ROOM)
+        return link, lanes
+
+    @staticmethod
+    def look(link: Link) -> None:
+        if link.over:
+            raise Unsent(What.LOST_UNWRITTEN)
+        if link.retiring:
+            raise Unsent(What.NOT_ALLOWED)
+        if link.blocked or link.paused:
+            raise Unsent(What.BLOCKED, BLOCKED_WAIT)
+
+    @staticmethod
+    def lanes(call: Call, link: Link) -> list[Lane] | None:
+        """A lane for each message: those without a key go together. None while one is missing."""
+        if link.over:
+            raise Unsent(What.LOST_UNWRITTEN)
+        free = link.lane_for(0)
+        found = [link.lane_for(entry.key) if entry.key else free for entry in call.entries]
+        lanes = [lane for lane in found if lane is not None]
+        return lanes if len(lanes) == len(found) else None
+
+    def publish(self, call: Call, link: Link, lanes: list[Lane]) -> list[Publish]:
+        link.calls += 1
+        call.uses, call.written = link.calls, True
+        out = [
+            link.publish(lane, self.options.route(entry), self.properties(entry), entry.body)
+            for entry, lane in zip(call.entries, lanes, strict=True)
+        ]
+        link.flush()
+        return out
+
+    @staticmethod
+    def properties(entry: Entry) -> commands.Basic.Properties:
+        headers: dict[str, object] = {"x-class": entry.cls}
+        if entry.token:
+            headers["x-idempotency-key"] = entry.token
+        if entry.key:
+            headers["x-key"] = f"{entry.key:016x}"
+        return commands.Basic.Properties(
+            message_id=entry.id, headers=headers, delivery_mode=2, message_type=entry.cls
+        )
+
+    # --- outcomes ---
+
+    def ending(self, out: list[Publish], otherwise: What) -> Ending:
+        """What became of each; `otherwise` for those without a word, whose confirm may still come."""
+        outcomes = []
+        for publish in out:
+            what = publish.what
+            if what is None:
+                publish.given_up = True
+                what = What.RETURNED if publish.returned else otherwise
+            elif what not in (What.ACKED, What.OVERDUE):
+                self.complain(f"message {publish.message}: {what.value}")
+            outcomes.append((TABLE[what], False))
+        return Ending(outcomes)
+
+    @staticmethod
+    def unsent(call: Call, what: What, wait: float = 0.0) -> Ending:
+        return Ending([(TABLE[what], False)] * len(call.entries), wait)
+
+
+class Brokers:
+    """Makes a broker of each endpoint whose destination has options for one."""
+
+    def __init__(self, settings: i.Settings, options: Mapping[int, BrokerOptions]) -> None:
+        self.s, self.options = settings, options
+
+    def of(self, listed: i.Listed, address: tuple[str, int]) -> Broker | None:
+        options = self.options.get(listed.destination)
+        return Broker(self.s, options, address) if options is not None else None
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from ... import interface as i
 from ...interface import Outcome
@@ -29,6 +30,22 @@
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
+class Carrier(Protocol):
+    """What carries the calls to one endpoint by another protocol."""
+
+    async def run(self, call: "Call", may_write: "MayWrite") -> "Ending": ...
+
+    def move(self, address: tuple[str, int], ready: bool) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Carriers(Protocol):
+    def of(self, listed: i.Listed, address: tuple[str, int]) -> "Carrier | None":
+        """None: the endpoint speaks HTTP."""
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class Receiver:
     """A listed receiver, and the idle connections to it."""
@@ -40,6 +57,7 @@
     told_at: float = math.inf  # loop time at which it was told to drain or be gone
     idle: list[Connection] = field(default_factory=list)
     calls: int = 0  # open ones
+    broker: "Carrier | None" = None  # what carries its calls, where that is not HTTP
 
 
 @dataclass(slots=True, eq=False)
@@ -67,6 +85,9 @@
     report: tuple[float, ...] = ()
 
 
+MayWrite = Callable[[Call], bool | asyncio.Future[bool]]
+
+
 def batches(entries: list[Entry], most: int) -> Iterator[list[Entry]]:
     """As many messages to a call as its kind allows and a body holds."""
     batch: list[Entry] = []
@@ -139,6 +160,7 @@
     ) -> None:
         self.s, self.may_write, self.ended, self.most = settings, may_write, ended, most
         self.loop = asyncio.get_running_loop()
+        self.brokers: Carriers | None = None
         self.calls: set[Call] = set()
         self.listed: dict[int, Receiver] = {}
         self.parked: dict[Connection, Receiver] = {}  # all idle connections, the oldest first
@@ -151,9 +173,12 @@
         if receiver is None:
             batch = self.s.kinds[listed.kind].batch
             receiver = self.listed[listed.endpoint] = Receiver(host, address, listed, batch)
+            receiver.broker = self.brokers.of(listed, address) if self.brokers is not None else None
         ready = listed.condition is i.Condition.READY
         if not ready or address != receiver.address:
             self.close_idle(receiver)
+        if receiver.broker is not None:
+            receiver.broker.move(address, ready)
         receiver.address, receiver.listed = address, listed
         receiver.told_at = math.inf if ready else min(receiver.told_at, self.loop.time())
 
@@ -165,6 +190,8 @@
         if receiver.calls or receiver.listed.condition is not i.Condition.GONE:
             return False
         self.close_idle(receiver)
+        if receiver.broker is not None:
+            receiver.broker.close()
         del self.listed[number]
         return True
 
@@ -182,8 +209,14 @@
         self.timer.cancel()
         for receiver in self.listed.values():
             self.close_idle(receiver)
+            if receiver.broker is not None:
+                receiver.broker.close()
 
     async def run(self, call: Call) -> None:
+        if call.receiver.broker is not None:
+            ending = await call.receiver.broker.run(call, self.may_write)
+            self.finish(call, None, ending)
+            return
         ending, connection = None, None
         try:
             async with asyncio.timeout_at(call.until):
--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -267,12 +267,13 @@
     "destinations",
     multiple=True,
     metavar="NAME=NUMBER@RATE,IP:PORT[,IP:PORT...]",
-    help="A destination, like thumbs=1@50/s,10.0.0.1:8080,10.0.0.2:8080.",
+    help="A destination, like thumbs=1@50/s,10.0.0.1:8080,10.0.0.2:8080; amqp:10.0.0.3:5672 for a broker.",
 )
 @click.option("--body", default="4 KiB", show_default=True, help="A usual message's size.")
 @click.option("--memory", default="256 MiB", show_default=True)
 @click.option("--disk", default="64 MiB", show_default=True)
 @click.option("--sockets", default=1024, show_default=True, type=click.IntRange(96, 1_000_000))
+@click.option("--amqp", default="", metavar="IP:PORT", help="Take messages over AMQP 0-9-1 there, too.")
 @click.option("--sink", default="", metavar="IP:PORT", help="Tell ends over HTTP instead of to a file.")
 @click.option("--ask/--no-ask", default=None, help="Ask for what the options don't say (on a terminal).")
 def init(
@@ -286,6 +287,7 @@
     memory: str,
     disk: str,
     sockets: int,
+    amqp: str,
     sink: str,
     ask: bool | None,
 ) -> None:
@@ -296,6 +298,8 @@
         Address(numeric=True, least_port=0).read(listen)
         if sink:
             Address(numeric=True).read(sink)
+        if amqp:
+            Address(numeric=True, least_port=0).read(amqp)
         new = write.New(
             app,
             listen,
@@ -306,6 +310,7 @@
             read_size(disk),
             sockets,
             sink,
+            amqp,
         )
     except (Wrong, UnitError) as error:
         return fail(f"{error}; {getattr(error, 'hint', '')}".rstrip("; "), UNREADABLE)
@@ -347,6 +352,9 @@
     return cls
 
 
+BROKER = "amqp:"  # before an endpoint's address: it is a broker
+
+
 def read_destination(text: str) -> write.NewDestination:
     """NAME=NUMBER@RATE,IP:PORT..."""
     head, *endpoints = text.split(",")
@@ -355,9 +363,15 @@
     Text("name", m.NAME).read(name)
     if not number.isascii() or not number.isdigit():
         raise Wrong("E104", f"{number!r} is not a number of a destination", "write NAME=NUMBER@RATE,IP:PORT")
+    brokers = [endpoint.startswith(BROKER) for endpoint in endpoints]
+    endpoints = [endpoint.removeprefix(BROKER) for endpoint in endpoints]
     for endpoint in endpoints:
         Address(numeric=True).read(endpoint)
-    return write.NewDestination(name, int(number), endpoints, read_rate(rate) if rate else 50.0)
+    if any(brokers) and not all(brokers):
+        raise Wrong("E302", f"{name!r} has brokers and others", "make two destinations of it")
+    return write.NewDestination(
+        name, int(number), endpoints, read_rate(rate) if rate else 50.0, any(brokers)
+    )
 
 
 def questions(new: write.New) -> None:
--- a/rainpier/config/check.py
+++ b/rainpier/config/check.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
+from ..fronts.amqp.messages import compiled
 from . import model as m
 from . import units as u
+from .place import PARTIAL
 from .problem import Problem
 from .read import Loaded, Where, parse
 from .types import write_address
@@ -24,6 +26,10 @@
 SOCKET = "control.sock"
 LATE = 20  # times the aim
 SHORT_KEEP_ALIVE = 2000.0
+AMQP_BUFFERS = 256 << 10  # bytes of memory for a connection's own buffers
+REPLY = 1024  # bytes of memory for an end in a reply queue
+BROKER_OF_KIND = ("channels", "unconfirmed", "heartbeat", "nack")
+BROKER_OF_DESTINATION = ("vhost", "user", "password", "exchange", "routing_key")
 
 
 def check_text(text: str, file: str) -> Loaded:
@@ -325,14 +331,15 @@
             f,
             ("limits", "held"),
         )
-    need = lim.slots + SPARE + LEAST_CLIENTS
+    front = f.model.amqp.connections if f.model.amqp.listen else 0
+    need = lim.slots + SPARE + LEAST_CLIENTS + front
     if lim.sockets < need:
         at = ("limits", "sockets") if f.given("limits", "sockets") else ("limits", "slots")
         f.add(
             "E402",
             at,
             f"{lim.slots} slots need {need} sockets, and there are {lim.sockets}",
-            f"at least {need} sockets, or at most {max(1, lim.sockets - SPARE - LEAST_CLIENTS)} slots",
+            f"at least {need} sockets, or at most {max(1, lim.sockets - need + lim.slots)} slots",
         )
     if lim.typical_body > lim.largest_body:
         f.add(
@@ -343,7 +350,7 @@
             f,
             ("limits", "largest_body"),
         )
-    memory, disk = memory_need(lim), disk_need(lim)
+    memory, disk = memory_need(lim) + amqp_memory(f.model), disk_need(lim)
     for what, code, least, has in (("memory", "E403", memory, lim.memory), ("disk", "E404", disk, lim.disk)):
         if least > has:
             given = [
@@ -367,6 +374,15 @@
     return PROGRAM + lim.held * (2 * lim.typical_body + MESSAGE) + lim.slots * SLOT + 2 * lim.largest_body
 
 
+def amqp_memory(model: m.Model) -> int:
+    """Bytes that the AMQP front's clients can make it hold."""
+    told = model.amqp
+    if told.listen is None:
+        return 0
+    each = AMQP_BUFFERS + PARTIAL * model.limits.largest_body
+    return told.connections * each + told.queues * told.queue_length * REPLY
+
+
 def disk_need(lim: m.Limits) -> int:
     """Bytes of the state folder with all that may be held, held."""
     usual = lim.held * (lim.typical_body + RECORD)
@@ -377,6 +393,58 @@
     return math.ceil(size / (1 << 20)) << 20
 
 
+def amqp(f: Loaded) -> None:
+    """The front, and destinations whose endpoints are brokers."""
+    told = f.model.amqp
+    given = changed(told, tuple(name for name, _, _ in m.settings_of(m.Amqp)))
+    if told.listen is None and given and not f.bad("amqp", "listen"):
+        f.add("E608", ("amqp", given[0]), "there is no amqp.listen", "add listen, or remove the table")
+    if told.listen is not None:
+        amqp_front(f, told)
+    for name, kind in f.model.kinds.items():
+        odd = changed(kind, BROKER_OF_KIND)
+        if kind.protocol == "http" and odd:
+            f.add("E310", ("kind", name, odd[0]), f"kind {name!r} speaks HTTP", 'write protocol = "amqp"')
+    for name, dest in f.model.destinations.items():
+        kind = f.model.kinds.get(m.kind_of(f.model, dest))
+        odd = changed(dest, BROKER_OF_DESTINATION)
+        if odd and (kind is None or kind.protocol == "http"):
+            f.add(
+                "E310", ("destination", name, odd[0]), f"destination {name!r} speaks HTTP",
+                'give it a kind with protocol = "amqp"',
+            )  # fmt: skip
+        pattern(f, ("destination", name, "routing_key"), dest.routing_key)
+
+
+def changed(values: object, names: tuple[str, ...]) -> list[str]:
+    """Those of the settings that are not at their default; what could not be read is judged already."""
+    defaults = {name: default for name, _, default in m.settings_of(type(values))}
+    return [name for name in names if getattr(values, name) not in (None, defaults[name])]
+
+
+def amqp_front(f: Loaded, told: m.Amqp) -> None:
+    if bool(told.user) != bool(told.password):
+        has, lacks = ("user", "password") if told.user else ("password", "user")
+        f.add("E607", ("amqp", has), f"a {has} without a {lacks}", f"add {lacks}, or remove {has}")
+    if told.listen[0] in ("0.0.0.0", "::") and not told.user:  # noqa: S104
+        f.add("W802", ("amqp", "listen"), "listens on every address, and no password is asked for")
+    if told.listen == f.model.resp.listen and told.listen[1]:
+        f.add(
+            "E601", ("amqp", "listen"), "the AMQP listener's address is the RESP listener's", "", f,
+            ("resp", "listen"),
+        )  # fmt: skip
+    pattern(f, ("amqp", "routing_key"), told.routing_key)
+
+
+def pattern(f: Loaded, where: Where, text: str | None) -> None:
+    if text is None:
+        return
+    try:
+        compiled(text)
+    except ValueError as error:
+        f.add("E311", where, str(error), "use {class}, {destination} and {key}, each once")
+
+
 def rules(f: Loaded) -> None:
     r = f.model.rules
     if r.drain_grace > m.DRAIN_GRACE:
@@ -467,7 +535,7 @@
         )
 
 
-RULES: tuple[Callable[[Loaded], None], ...] = (classes, destinations, limits, rules, places)
+RULES: tuple[Callable[[Loaded], None], ...] = (classes, destinations, limits, amqp, rules, places)
 
 
 # --- many files ---
@@ -513,6 +581,10 @@
             f.file,
             f"{write_address(listen)} is another sidecar's listener",
         )
+    if model.amqp.listen and model.amqp.listen[1]:
+        where = ("amqp", "listen")
+        text = f"{write_address(model.amqp.listen)} is another sidecar's listener"
+        yield "E601", model.amqp.listen, where, f.file, text
     if model.sink.kind == "file":
         where = ("sink", "file") if f.given("sink", "file") else ("sidecar", "name")
         yield (
--- a/rainpier/config/codes.py
+++ b/rainpier/config/codes.py
@@ -105,6 +105,14 @@
     "E307": ("unknown zone", "The zone has to be one of fleet.zones."),
     "E308": ("no destination", "Without a destination no message can be handed in."),
     "E309": ("endpoint is the sidecar itself", "Messages would be sent to the listener that takes them."),
+    "E310": (
+        "broker setting without a broker",
+        'Settings of a broker mean nothing where endpoints speak HTTP: the kind needs protocol = "amqp".',
+    ),
+    "E311": (
+        "routing key is no pattern",
+        "In a routing key, {class}, {destination} and {key} stand for a message's own; nothing else does.",
+    ),
     "E401": (
         "more slots than messages",
         "A call carries at least one message, so slots beyond `held` are never used.",
@@ -151,6 +159,14 @@
         "The state folder's size is bounded; a file of ends that grows there "
         "would take the journal's room.",
     ),
+    "E607": (
+        "AMQP login is incomplete",
+        "A user without a password, or a password without a user, would let in nobody, or anybody.",
+    ),
+    "E608": (
+        "AMQP setting without a listener",
+        "Without amqp.listen there is no AMQP, so what else stands there would do nothing.",
+    ),
     "E701": (
         "files disagree: endpoints",
         "One destination's endpoints are the same for every sidecar, or its drains "
--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -67,6 +67,51 @@
     )
 
 
+@dataclass(kw_only=True)
+class Amqp:
+    """Where clients publish messages, in AMQP 0-9-1, and consume how they ended."""
+
+    listen: tuple[str, int] | None = setting(
+        t.Address(numeric=True, least_port=0), "Address to listen on; without it there is no AMQP.", None
+    )
+    user: str = setting(t.Text("text", r"[!-~]{1,128}", empty=True), "Who may log in; empty: anybody.", "")
+    password: str = setting(
+        t.Text("password, 8 to 256 printable characters without spaces", r"[!-~]{8,256}", empty=True),
+        "The user's password.",
+        "",
+    )
+    vhost: str = setting(t.Text("text"), "The one virtual host.", "/")
+    exchange: str = setting(
+        t.Text("name", r"[A-Za-z0-9_.:-]{1,127}"), "The exchange that stands for all routes.", "rainpier"
+    )
+    routing_key: str = setting(
+        t.Text("text"),
+        "What a routing key says, from {class}, {destination} and {key}; headers go before it.",
+        "{class}.{destination}.{key}",
+    )
+    without_confirms: str = setting(
+        t.Choice(("refuse", "accept")),
+        "Publishing without confirm.select. Accepted, a refusal is never heard of.",
+        "refuse",
+    )
+    connections: int = setting(t.Count(1, 10_000), "Connections at once.", 32)
+    channels: int = setting(t.Count(1, 2047), "Channels of one connection.", 32)
+    unanswered: int = setting(
+        t.Count(1, 65_536), "Publishes of one connection without an answer; more are not read yet.", 256
+    )
+    frame: int = setting(t.size(4096, 1 << 20), "Longest frame.", 128 << 10)
+    heartbeat: float = setting(
+        t.duration(1000, 3_600_000), "Heartbeat that is offered; the client chooses.", 30_000.0
+    )
+    queues: int = setting(t.Count(1, 100_000), "Reply queues at once.", 64)
+    queue_length: int = setting(
+        t.Count(1, 100_000), "Ends of one reply queue, those owed included; then publishes are refused.", 1000
+    )
+    queue_idle: float = setting(
+        t.duration(1000, 86_400_000), "Time after which an unused reply queue is dropped.", 600_000.0
+    )
+
+
 @dataclass(kw_only=True)
 class Sink:
     """Where the ends of messages go that are not delivered."""
@@ -188,6 +233,15 @@
 
     batch: int = setting(t.Count(1, 1000), "Messages in one call at most.", 1)
     apart: bool = setting(t.Flag(), "Its endpoints are separate routes, each with limits of its own.", False)
+    protocol: str = setting(t.Choice(("http", "amqp")), "What its endpoints speak: amqp for brokers.", "http")
+    channels: int = setting(t.Count(1, 256), "amqp: channels of an endpoint's one connection.", 4)
+    unconfirmed: int = setting(t.Count(1, 65_536), "amqp: publishes of a channel without a confirm.", 256)
+    heartbeat: float = setting(t.duration(1000, 3_600_000), "amqp: heartbeat that is asked for.", 30_000.0)
+    nack: str = setting(
+        t.Choice(("may_have_run", "never_ran")),
+        "amqp: what basic.nack proves. never_ran only where a publish goes to one queue at most.",
+        "may_have_run",
+    )
 
 
 @dataclass(kw_only=True)
@@ -218,6 +272,15 @@
     rate: float | None = setting(
         t.rate(1e-6), "Calls a second that it takes from all senders, roughly.", None, LIVE
     )
+    vhost: str = setting(t.Text("text"), "amqp: virtual host.", "/")
+    user: str = setting(t.Text("text", r"[!-~]{1,128}"), "amqp: who logs in.", "guest")
+    password: str = setting(t.Text("text", r"[!-~]{1,256}"), "amqp: the user's password.", "guest")
+    exchange: str = setting(
+        t.Text("text", empty=True), "amqp: exchange to publish to; empty: the default exchange.", ""
+    )
+    routing_key: str = setting(
+        t.Text("text"), "amqp: routing key; {class}, {destination} and {key} are filled in.", "{destination}"
+    )
     endpoints: list[Endpoint] = field(default_factory=list)
 
 
@@ -244,6 +307,7 @@
 class Model:
     sidecar: Sidecar
     resp: Resp
+    amqp: Amqp
     sink: Sink
     limits: Limits
     calls: Calls
@@ -259,6 +323,7 @@
 SECTIONS: dict[str, type] = {
     "sidecar": Sidecar,
     "resp": Resp,
+    "amqp": Amqp,
     "sink": Sink,
     "limits": Limits,
     "calls": Calls,
--- a/rainpier/config/place.py
+++ b/rainpier/config/place.py
@@ -4,9 +4,13 @@
 from pathlib import Path
 
 from .. import interface as i
+from ..amqp.connection import Limits, Login
+from ..carriers.amqp.options import BrokerOptions
+from ..fronts.amqp.options import Options
 from . import model as m
 
 SPARE = 24  # descriptors kept for files, the platform's connections, and what is just being closed
+PARTIAL = 4  # bodies that one AMQP connection may have in parts at once
 EFFECT = {"safe": i.Effect.SAFE, "keyed": i.Effect.KEYED, "unsafe": i.Effect.UNSAFE}
 
 
@@ -29,6 +33,9 @@
     machine: bool = False  # promises hold over the end of the machine too
     destinations: dict[str, int] = field(default_factory=dict)  # numbers by name, where they have names
 
+    brokers: dict[int, BrokerOptions] = field(default_factory=dict)  # by number of the destination
+    amqp: Options | None = None  # the AMQP front's, where there is one
+
     @property
     def for_calls(self) -> int:
         """Descriptors for calls and idle connections to receivers."""
@@ -37,7 +44,8 @@
     @property
     def for_clients(self) -> int:
         """Descriptors for clients: what is left beside receivers, files and the platform's connections."""
-        return max(1, self.sockets - SPARE - self.for_calls)
+        taken = self.amqp.connections if self.amqp else 0
+        return max(1, self.sockets - SPARE - self.for_calls - taken)
 
 
 def message_classes(model: m.Model) -> tuple[i.MessageClass, ...]:
@@ -70,6 +78,33 @@
     )  # fmt: skip
 
 
+def brokers(model: m.Model) -> dict[int, BrokerOptions]:
+    """How the destinations are published to whose endpoints are brokers."""
+    found = {}
+    for name, dest in model.destinations.items():
+        kind = model.kinds.get(m.kind_of(model, dest))
+        if kind is not None and kind.protocol == "amqp":
+            heartbeat, unseen = max(1, round(kind.heartbeat / 1000)), kind.nack == "never_ran"
+            found[dest.number] = BrokerOptions(
+                Login(dest.user, dest.password, dest.vhost), dest.exchange, dest.routing_key, name,
+                kind.channels, kind.unconfirmed, heartbeat, unseen,
+            )  # fmt: skip
+    return found
+
+
+def front(model: m.Model) -> Options | None:
+    """The AMQP front's own settings; None where there is none."""
+    told, body = model.amqp, model.limits.largest_body
+    if told.listen is None:
+        return None
+    limits = Limits(told.frame, told.channels, body, PARTIAL * body, max(1, round(told.heartbeat / 1000)))
+    return Options(
+        told.listen, told.user, told.password, told.vhost, told.exchange, told.routing_key,
+        told.without_confirms == "accept", told.connections, told.unanswered, told.queues,
+        told.queue_length, told.queue_idle / 1000, limits,
+    )  # fmt: skip
+
+
 def place(model: m.Model, seed: int) -> Config:
     """What a sender needs; ValueError where the settings are impossible."""
     told = model.platform
@@ -88,4 +123,6 @@
         largest_body=model.limits.largest_body,
         machine=model.sidecar.durability == "machine",
         destinations={name: dest.number for name, dest in model.destinations.items()},
+        brokers=brokers(model),
+        amqp=front(model),
     )
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -43,7 +43,7 @@
     info, limits, rules = raw.get("family-info", {}), raw.get("policy-limits", {}), raw.get("rules", {})
     kinds = read_kinds(raw.get("kinds", []), info.get("per-call", []), info.get("kind-apart", []))
     return m.Model(
-        sidecar=sidecar, resp=resp, sink=m.Sink(kind="http"),
+        sidecar=sidecar, resp=resp, amqp=m.Amqp(), sink=m.Sink(kind="http"),
         limits=m.Limits(
             slots=info.get("workers", 1_000_000), held=limits.get("open-cap", 1_000_000),
             attempts=limits.get("max-attempts", 1_000_000),
--- a/rainpier/config/write.py
+++ b/rainpier/config/write.py
@@ -30,6 +30,7 @@
     number: int
     endpoints: list[str] = field(default_factory=list)  # HOST:PORT
     rate: float = 50.0
+    broker: bool = False  # its endpoints speak AMQP
 
 
 @dataclass
@@ -45,6 +46,7 @@
     disk: int = 64 << 20
     sockets: int = 1024
     sink: str = ""  # an HTTP address; "": a file
+    amqp: str = ""  # the AMQP listener's address; "": none
 
 
 EFFECTS = {
@@ -84,6 +86,7 @@
                 "[resp]",
                 f"listen = {quoted(new.listen)}  # clients hand messages in here, with any Redis client",
                 "",
+                *front(new),
                 *sink(new),
                 "",
                 *comment("What the sidecar may use. rainpier check sees to it that these fit together."),
@@ -97,6 +100,7 @@
                 "",
                 *comment("Classes say what a repeat of a message would do, and how long it may take."),
                 *(line for cls in new.classes for line in class_lines(cls, new)),
+                *kinds(new),
                 *comment("Destinations are named by their number when a message is handed in (dest=)."),
                 *(line for dest in new.destinations for line in destination_lines(dest)),
             ]
@@ -109,6 +113,30 @@
     yield f"# {text}"
 
 
+def front(new: New) -> Iterator[str]:
+    if new.amqp:
+        yield "# Clients publish with the routing key CLASS.DESTINATION or CLASS.DESTINATION.KEY,"
+        yield "# with a message-id and publisher confirms; ends go to reply-to as well as to the sink."
+        yield "[amqp]"
+        yield f"listen = {quoted(new.amqp)}"
+        yield 'exchange = "rainpier"'
+        yield 'user = ""  # with a password: who may log in'
+        yield ""
+
+
+def kinds(new: New) -> Iterator[str]:
+    """Only where one destination differs from what is taken for granted."""
+    if any(dest.broker for dest in new.destinations):
+        yield "[kind.single]"
+        yield "batch = 1"
+        yield ""
+        yield "# Brokers: messages are published with confirms, which say that they were delivered."
+        yield "[kind.broker]"
+        yield 'protocol = "amqp"'
+        yield "batch = 20  # publishes that wait for their confirms together"
+        yield ""
+
+
 def sink(new: New) -> Iterator[str]:
     yield "# Messages that end undelivered are told here: handed_back (hand in again) or given_up."
     yield "[sink]"
@@ -145,6 +173,13 @@
 def destination_lines(dest: NewDestination) -> Iterator[str]:
     yield f"[destination.{dest.name}]"
     yield f"number = {dest.number}"
+    if dest.broker:
+        yield 'kind = "broker"'
+        yield 'vhost = "/"'
+        yield 'user = "guest"'
+        yield 'password = "guest"'
+        yield 'exchange = ""  # the default exchange: the routing key is a queue\'s name'
+        yield f"routing_key = {quoted(dest.name)}"
     yield f"rate = {quoted(u.write_rate(dest.rate))}  # what it takes from all senders, roughly"
     yield "endpoints = ["
     for endpoint in dest.endpoints:
@@ -187,8 +222,9 @@
         )
     elif isinstance(values, m.Destination):
         derived = {"kind": m.kind_of(f.model, values)}
-    for name, setting, _ in m.settings_of(kind):
-        value, secret = getattr(values, name), name == "password"
+    for name, setting, default in m.settings_of(kind):
+        value = getattr(values, name)
+        secret = name == "password" and value != default
         at = origin(f, (*where, name))
         if name in derived and (value is None or value == ""):
             value, at = derived[name], f"# default: {setting.shown_default}"
--- /dev/null
+++ b/rainpier/fronts/amqp/desk.py
@@ -0,0 +1,33 @@
+"""The front's side of a node: what its sessions hand in to, and where ends come from."""
+
+import asyncio
+
+from ...config.place import Config
+from ...node.node import Node
+from ...store.entry import Entry
+from .messages import Routes, compiled
+from .queues import Queues, reply
+from .session import Desk
+
+
+def routes_of(config: Config) -> Routes:
+    """ValueError where the routing key's pattern is none."""
+    assert config.amqp is not None
+    classes = {cls.name: cls for cls in config.settings.classes}
+    return Routes(config.amqp.exchange, compiled(config.amqp.routing_key), classes, config.destinations)
+
+
+def desk_of(node: Node, config: Config) -> Desk:
+    """Publishes go to the node, and its ends to the reply queues."""
+    options, clock = config.amqp, asyncio.get_running_loop().time
+    assert options is not None
+    queues = Queues(options.queues, options.queue_length, options.queue_idle, lambda name: node.owed[name])
+
+    def told(entry: Entry, outcome: str) -> None:
+        retry = entry.retry if outcome == "handed_back" else 0
+        queues.tell(entry.reply_to, reply(entry.id, outcome, entry.correlation, retry), clock())
+
+    node.replies = told
+    return Desk(
+        routes_of(config), queues, node.put, node.awaited, node.held_for, clock, options.without_confirms
+    )
--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -30,6 +30,8 @@
     body: bytes
     repeated: bool
     inherited: bool
+    reply_to: str = ""  # the queue that its end goes to, and what it is known by there
+    correlation: str = ""
 
 
 class BadRequest(Exception):
--- a/rainpier/host.py
+++ b/rainpier/host.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
+from typing import Protocol
 
-from .fronts.resp.server import Clients
 from .node.node import Node
 
 log = logging.getLogger(__name__)
@@ -12,13 +13,21 @@
 END = 3.2  # s after SIGTERM; SIGKILL comes 3.7 s after it at the soonest
 
 
-async def finish(node: Node, clients: Clients, begun: float) -> None:
+class Listener(Protocol):
+    """Any front."""
+
+    async def close(self, within: float) -> None:
+        """Listen no longer; close each connection once nothing on it is unanswered."""
+        ...
+
+
+async def finish(node: Node, fronts: Sequence[Listener], begun: float) -> None:
     """Serve for as long as clients still come, then let what is out end; the rest stays in the store."""
     loop = asyncio.get_running_loop()
     log.info("stopping")
     node.stopping(begun + END)
     await asyncio.sleep(SERVE_ON)
-    await clients.close(within=0.4)
+    await asyncio.gather(*(front.close(within=0.4) for front in fronts))
     while loop.time() < begun + END:
         if not node.busy and (loop.time() > begun + LAST_START or not node.store.entries):
             break
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -5,11 +5,12 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from .. import interface as i
+from ..carriers.amqp.brokers import Brokers
 from ..carriers.http.receivers import Call, Ending, Receivers, batches
 from ..config.place import Config
 from ..config.platform import ConfigError, address
@@ -26,6 +27,7 @@
 
 log = logging.getLogger(__name__)
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
+DELIVERED, OVER = "delivered", "over"
 OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
 SWEEP = 0.1  # s between looks for such messages
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
@@ -59,6 +61,9 @@
         known = self.store.state  # by an earlier process
         self.remembered = (dict(known.waits), dict(known.outages))
         self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.for_calls)
+        self.receivers.brokers = Brokers(self.s, config.brokers)
+        self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
+        self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
         self.events: list[i.Event] = []
         self.intake: dict[int, Intake] = {}  # by number, until the next round
         self.names: dict[str, Intake] = {}  # the same by id
@@ -100,7 +105,10 @@
 
     def resume(self, entry: Entry) -> None:
         cls = self.classes.get(entry.cls)
+        if entry.reply_to:
+            self.owed[entry.reply_to] += 1
         if entry.end:
+            self.tell(entry, entry.end)
             self.sink.add(entry)
         elif cls is None:
             log.error("message %s is of a class that is no longer known: %s", entry.id, entry.cls)
@@ -177,6 +185,8 @@
         elif not self.store.take(entry):
             answer = b"-BUSY %d\r\n" % DOOR_WAIT
             self.push(i.Withdrawn(entry.number))
+        if answer is not OK:
+            self.unowe(entry)
         if end is not None and entry.key:
             self.push(i.EndAnswered(entry.number, entry.key))
         if answer is OK:
@@ -257,6 +267,7 @@
         if put.id in self.names:
             return self.names[put.id].answer
         if self.store.knows(put.id, self.now):  # guards against taking on twice what came twice
+            self.redirect(put)
             return OK
         held = len(self.store.entries) + len(self.intake)
         if held >= self.s.max_open or not self.store.room(put.body):
@@ -267,12 +278,53 @@
         entry = Entry(number, put.id, put.cls, put.destination, key, put.token, deadline, put.body)
         effect = self.s.classes[cls]
         entry.effect, entry.group, entry.window = int(effect.effect), effect.group, effect.repeat_window
+        entry.reply_to, entry.correlation = put.reply_to, put.correlation
+        if put.reply_to:
+            self.owed[put.reply_to] += 1
         handed = self.intake[number] = self.names[put.id] = Intake(entry, self.loop.create_future())
         self.push(
             i.Arrival(number, cls, put.destination, deadline, key, 0, put.repeated, put.inherited),
         )
         return handed.answer
 
+    @property
+    def full(self) -> bool:
+        """No message can be taken on now."""
+        return len(self.store.entries) + len(self.intake) >= self.s.max_open or not self.store.room(b"")
+
+    def held_for(self, destination: int) -> int:
+        return sum(entry.destination == destination for entry in self.store.entries.values())
+
+    # --- ends for reply queues ---
+
+    def redirect(self, put: Put) -> None:
+        """Who hands in again what is still held gets its end: the queue named before may be gone."""
+        entry = self.store.entries.get(self.store.state.numbers.get(put.id, 0))
+        if put.reply_to and entry is not None and not entry.told:
+            self.unowe(entry)
+            entry.reply_to, entry.correlation = put.reply_to, put.correlation
+            self.owed[put.reply_to] += 1
+
+    def awaited(self, message: str, reply_to: str) -> bool:
+        """The end of that message will go to that queue."""
+        entry = self.store.entries.get(self.store.state.numbers.get(message, 0))
+        return entry is not None and not entry.told and entry.reply_to == reply_to
+
+    def unowe(self, entry: Entry) -> None:
+        if entry.reply_to:
+            self.owed[entry.reply_to] -= 1
+            if self.owed[entry.reply_to] <= 0:
+                del self.owed[entry.reply_to]
+
+    def tell(self, entry: Entry, outcome: str) -> None:
+        """The one end of a message, to its reply queue."""
+        if not entry.reply_to or entry.told:
+            return
+        entry.told = True
+        self.unowe(entry)
+        if self.replies is not None:
+            self.replies(entry, outcome)
+
     # --- a configuration that changes ---
 
     def reconfigure(self, config: Config) -> None:
@@ -283,6 +335,7 @@
         """
         bound = self.stricter(config.settings.classes)
         self.config, self.s = config, replace(self.s, classes=config.settings.classes)
+        self.receivers.brokers = Brokers(self.s, config.brokers)
         self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
         for cls, entries in bound:
             self.store.bind(entries, int(cls.effect), cls.group, cls.repeat_window)
@@ -359,6 +412,8 @@
                 continue
             closed = nothing_owed or outcome is i.Outcome.OK
             over.append(entry) if closed else owed.append((entry, outcome))
+            if closed and not entry.end:
+                self.tell(entry, DELIVERED if outcome is i.Outcome.OK else OVER)
             self.settle(call, entry, attempt, outcome, closed, ending)
         if over:
             self.store.over(over)
@@ -406,7 +461,11 @@
 
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
         log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
-        self.store.end(entry, end, retry, lambda: self.sink.add(entry))  # told only once it is written
+        self.store.end(entry, end, retry, lambda: self.ended(entry))  # told only once it is written
+
+    def ended(self, entry: Entry) -> None:
+        self.tell(entry, entry.end)
+        self.sink.add(entry)
 
     def on_answered(self, entries: list[Entry]) -> None:
         self.store.over(entries)
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -15,6 +15,8 @@
 from .config.types import write_address
 from .config.watch import Reloader
 from .control.server import Control
+from .fronts.amqp.desk import desk_of, routes_of
+from .fronts.amqp.server import Front
 from .fronts.resp.server import Clients
 from .host import finish
 from .membership.file import FileList, hosts
@@ -49,6 +51,7 @@
         self.reloader = Reloader(path, model, self.apply)
         self.stop = asyncio.Event()
         self.node: Node | None = None
+        self.front: Front | None = None
 
     async def run(self) -> None:
         """Until SIGTERM or SIGINT; StartError, OSError where it can't start."""
@@ -86,20 +89,35 @@
         await node.start()
         self.clients = Clients(node.put, config.for_clients, self.model.resp.password)
         await self.clients.listen(config.listen)
+        await self.listen_amqp(node, config)
         control = Control(config.state / SOCKET, {"status": self.status})
         await control.listen()
         reloading = loop.create_task(keep(self.reloader.run))
         log.info("%s serves on %s", config.name, write_address((config.listen[0], self.clients.port)))
+        if self.front is not None:
+            log.info("AMQP on %s", write_address((self.front.options.listen[0], self.front.port)))
         log.info("%s, state %s, %d messages taken up", self.path, config.state, len(node.store.entries))
         await self.stop.wait()
-        await finish(node, self.clients, loop.time())
+        await finish(node, self.fronts, loop.time())
         reloading.cancel()
         await control.close()
 
+    async def listen_amqp(self, node: Node, config: Config) -> None:
+        if config.amqp is not None:
+            self.front = Front(desk_of(node, config), config.amqp, lambda: node.full)
+            await self.front.listen()
+
+    @property
+    def fronts(self) -> list[Clients | Front]:
+        return [self.clients] if self.front is None else [self.clients, self.front]
+
     def apply(self, model: m.Model) -> None:
         """An edit as a whole, between two rounds: nothing of it can be seen without the rest."""
         assert self.node is not None
-        self.node.reconfigure(place(model, self.seed))
+        config = place(model, self.seed)
+        self.node.reconfigure(config)
+        if self.front is not None and config.amqp is not None:
+            self.front.desk.routes = routes_of(config)
         self.source.set(hosts(model))
         self.model = model
 
@@ -114,6 +132,7 @@
             "up_s": round(time.time() - self.started, 1),
             "held": len(node.store.entries), "out": len(node.out), "ends_waiting": len(node.sink.waiting),
             "clients": len(self.clients.connections),
+            "amqp": self.front.status() if self.front is not None else None,
             "store_bytes": node.store.size, "disk_bytes": node.config.disk,
             "reload": {
                 "applied": self.reloader.applied, "rejected": self.reloader.rejected,
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -27,6 +27,9 @@
     effect: int = 0  # the strictest effect that its class had since it was taken on, with group and window
     group: str = "all"
     window: float = 0.0
+    reply_to: str = ""  # the reply queue that the end goes to, and what it is known by there
+    correlation: str = ""
+    told: bool = False  # ... and it has gone there
 
     def settle(self, outcome: Outcome) -> None:
         """The attempt that was out has this outcome."""
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -21,7 +21,8 @@
 
 from .entry import Entry
 
-MAGIC, VERSION = b"RPSTORE\n", 1
+MAGIC, VERSION = b"RPSTORE\n", 2
+READS = (1, 2)  # 2: messages may name a reply queue
 HEAD, FRAME = struct.Struct("<8sHHIQI"), struct.Struct("<III")
 CRC, REST = struct.Struct("<I"), struct.Struct("<II")
 HEAD_SIZE = HEAD.size + CRC.size
@@ -35,7 +36,7 @@
     struct.Struct("<HBBd"),
 )
 START, UPGRADED, BIND = struct.Struct("<Qd"), struct.Struct("<QI"), struct.Struct("<H")
-HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT = 1, 2, 4, 8  # flags of a message
+HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY = 1, 2, 4, 8, 16  # flags of a message
 ENDS = ("", "given_up", "handed_back")
 GROUPS = ("all", "zone")
 
@@ -80,7 +81,7 @@
     if CRC.unpack_from(data, HEAD.size)[0] != zlib.crc32(data[: HEAD.size]):
         return None
     _, version, _, segment, first, store = HEAD.unpack_from(data)
-    if version != VERSION:
+    if version not in READS:
         raise Unreadable(f"format version {version}, this program reads {VERSION}")
     return Head(segment, first, store)
 
@@ -197,6 +198,10 @@
     ident = e.id.encode() if ident is None else ident
     token = e.token.encode() if token is None else token
     parts = [ident, token, e.body]
+    if e.reply_to:
+        flags |= REPLY
+        reply_to, correlation = e.reply_to.encode(), e.correlation.encode()
+        parts.insert(0, bytes((len(reply_to), len(correlation))) + reply_to + correlation)
     if e.key:
         flags |= KEYED
         parts.insert(0, KEY.pack(e.key))
@@ -219,6 +224,12 @@
     if flags & KEYED:
         (key,) = KEY.unpack_from(data, at)
         at += KEY.size
+    reply_to = correlation = ""
+    if flags & REPLY:
+        first, second = data[at], data[at + 1]
+        reply_to = data[at + 2 : at + 2 + first].decode()
+        correlation = data[at + 2 + first : at + 2 + first + second].decode()
+        at += 2 + first + second
     ident, token = data[at : at + ident_size], data[at + ident_size : at + ident_size + token_size]
     body = data[at + ident_size + token_size :]
     if cls not in classes:
@@ -227,7 +238,7 @@
     entry = Entry(
         number, ident.hex() if flags & HEX_ID else ident.decode(), name, destination, key,
         token.hex() if flags & HEX_TOKEN else token.decode(), deadline, body,
-        effect=effect, group=group, window=window,
+        effect=effect, group=group, window=window, reply_to=reply_to, correlation=correlation,
     )  # fmt: skip
     if progress:
         (entry.attempts, entry.begun, entry.begun_zone, entry.risky_at, entry.risky_zone, end,
--- /dev/null
+++ b/tests/amqp/test_carrier.py
@@ -0,0 +1,323 @@
+"""Endpoints that are brokers: each thing that a broker can do to a publish, over sockets, and what becomes of it."""
+
+import asyncio
+import random
+
+import pytest
+from peers import drive, until
+from standins.broker import ScriptedBroker
+from standins.station import Station, text
+
+from rainpier.carriers.amqp.outcomes import TABLE, What
+from rainpier.interface import Condition, Outcome
+
+
+def told(message, destination=1, cls="charge"):
+    return message, cls, destination
+
+
+async def one(folder, script, cls="charge", kind="", before=None, **more):
+    """One message to a broker with that script: its effects, its end, how often it was published."""
+    async with ScriptedBroker(script) as broker:
+        written = text({"orders": [broker.dial]}, kind=kind, **({"deadline": "1500 ms"} | more))
+        async with Station(folder, written) as station:
+            if before is not None:
+                before(broker)
+            assert await station.resp("m", cls, 1, token="t" if cls == "render" else "", span=1500)
+            await station.settled()
+            return broker.effects.get("m", 0), station.sink.ends.get("m", "delivered"), len(broker.published)
+
+
+def test_every_event_has_an_outcome():
+    assert set(TABLE) == set(What)
+    never = {what for what, outcome in TABLE.items() if outcome.never_ran}
+    assert never == {
+        What.NOT_CONNECTED, What.NO_CHANNEL, What.LOST_UNWRITTEN, What.BLOCKED, What.NO_ROOM, What.NOT_ALLOWED,
+        What.NACKED_UNSEEN, What.RETURNED, What.TURNED_DOWN,
+    }  # fmt: skip
+    assert TABLE[What.ACKED] is Outcome.OK
+
+
+@pytest.mark.parametrize(
+    ("told", "effects"),
+    [("lose", 1), ("drop", 0), ("nack", 0), ("close:504", 0), ("applied-close:541", 1),
+     ("end:320", 0), ("applied-end:320", 1), ("end:504", 0), ("cut", 0), ("applied-cut", 1), ("hold", 1)],
+)  # fmt: skip
+def test_a_charge_that_may_have_run_is_never_published_again(tmp_path, told, effects):
+    """Whatever the broker knows: without its word the charge has one end, failed, and one publish."""
+
+    async def story():
+        assert await one(tmp_path, lambda m: told) == (effects, "given_up", 1)
+
+    drive(story())
+
+
+@pytest.mark.parametrize("told", ["return", "close:403", "close:404", "close:311", "close:406"])
+def test_a_charge_that_never_ran_is_published_again(tmp_path, told):
+    async def story():
+        answers = iter([told, "ack"])
+        assert await one(tmp_path, lambda m: next(answers), deadline="6 s") == (1, "delivered", 2)
+
+    drive(story())
+
+
+def test_a_charge_that_no_queue_takes_is_handed_back(tmp_path):
+    async def story():
+        effects, end, published = await one(tmp_path, lambda m: "return")
+        assert (effects, end) == (0, "handed_back") and published >= 1
+
+    drive(story())
+
+
+def test_a_nack_proves_what_the_configuration_says(tmp_path):
+    async def story():
+        answers = iter(["nack", "ack"])
+        assert await one(tmp_path, lambda m: next(answers), kind='nack = "never_ran"') == (1, "delivered", 2)
+
+    drive(story())
+
+
+def test_a_keyed_message_is_published_again_and_takes_effect_once(tmp_path):
+    async def story():
+        answers = iter(["applied-cut", "ack"])
+        assert await one(tmp_path, lambda m: next(answers), cls="render", deadline="6 s") == (
+            1,
+            "delivered",
+            2,
+        )
+
+    drive(story())
+
+
+def test_a_channel_closed_with_several_publishes_out_proves_nothing(tmp_path):
+    """403 names a publish, and not which: of two charges on one channel neither is published again."""
+
+    async def story():
+        told = {"a": "hold", "b": "close:403"}
+        async with ScriptedBroker(lambda m: told[m]) as broker:
+            written = text({"orders": [broker.dial]}, kind="channels = 1", deadline="1500 ms")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("a", "charge", 1, span=1500)
+                await until(lambda: broker.held)
+                assert await station.resp("b", "charge", 1, span=1500)
+                await station.settled()
+                assert station.sink.ends == {"a": "given_up", "b": "given_up"}
+                assert [name for _, name, *_ in broker.published] == ["a", "b"]
+
+    drive(story())
+
+
+def test_a_confirm_that_comes_after_the_end_changes_nothing(tmp_path):
+    async def story():
+        async with ScriptedBroker(lambda m: "hold" if m == "late" else "ack") as broker:
+            written = text({"orders": [broker.dial]}, deadline="600 ms")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("late", "charge", 1, span=600)
+                await station.settled()
+                assert station.sink.told == [("late", "given_up")]
+                broker.release()
+                assert await station.resp("next", "charge", 1, span=600)
+                await station.settled()
+                assert station.sink.told == [("late", "given_up")] and broker.effects == {
+                    "late": 1,
+                    "next": 1,
+                }
+                assert broker.accepted == 1  # the connection is kept
+
+    drive(story())
+
+
+@pytest.mark.parametrize("order", ["reversed", "multiple", "gap", "again"])
+def test_confirms_in_any_order_settle_each_message_once(tmp_path, order):
+    async def story():
+        async with ScriptedBroker(lambda m: "hold") as broker:
+            written = text({"orders": [broker.dial]}, kind="channels = 1")
+            async with Station(tmp_path, written) as station:
+                names = [f"m{n}" for n in range(6)]
+                for name in names:
+                    assert await station.resp(name, "charge", 1)
+                await until(lambda: len(broker.held) == 6)
+                (connection, channel, _), tags = broker.held[0], [tag for *_, tag in broker.held]
+                if order == "reversed":
+                    broker.release(lambda held: reversed(held))
+                elif order == "multiple":
+                    connection.ack(channel, tags[-1], True)
+                elif order == "gap":  # 3 alone, then all to 5: 3 counts once
+                    connection.ack(channel, tags[2])
+                    connection.ack(channel, tags[4], True)
+                    connection.ack(channel, tags[5])
+                else:
+                    for tag in (*tags, *tags):
+                        connection.ack(channel, tag)
+                await station.settled()
+                assert station.sink.told == [] and broker.effects == dict.fromkeys(names, 1)
+                assert len(broker.published) == 6
+
+    drive(story())
+
+
+def test_a_confirm_for_a_tag_that_was_never_used_gives_up_the_channel(tmp_path):
+    """Nothing that such a broker says is believed: what is out may have run, and the next goes on a new channel."""
+
+    async def story():
+        async with ScriptedBroker(lambda m: "hold" if m == "a" else "ack") as broker:
+            written = text({"orders": [broker.dial]}, kind="channels = 1", deadline="3 s")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("a", "charge", 1, span=3000)
+                await until(lambda: broker.held)
+                connection, channel, tag = broker.held[0]
+                connection.ack(channel, tag + 5)
+                await until(lambda: "a" in station.sink.ends)
+                assert await station.resp("b", "charge", 1, span=3000)
+                await station.settled()
+                assert station.sink.ends == {"a": "given_up"} and broker.effects == {"a": 1, "b": 1}
+
+    drive(story())
+
+
+def test_order_per_key_holds_while_confirms_come_in_any_order(tmp_path):
+    async def story():
+        draw = random.Random(5)
+        async with ScriptedBroker(lambda m: "hold") as broker:
+            async with Station(tmp_path, text({"orders": [broker.dial]}, kind="batch = 10")) as station:
+
+                async def confirm():
+                    while True:
+                        await asyncio.sleep(0.01)
+                        broker.release(lambda held: draw.sample(held, len(held)))
+
+                confirming = asyncio.create_task(confirm())
+                for n in range(90):
+                    assert await station.resp(f"m{n}", "render", 1, key=1 + n % 6, token=f"t{n}")
+                await station.settled()
+                confirming.cancel()
+                for key in range(6):
+                    names = [f"m{n}" for n in range(90) if n % 6 == key]
+                    assert broker.order[f"{key + 1:016x}"] == names
+                assert not station.sink.told
+
+    drive(story())
+
+
+def test_a_blocked_broker_keeps_its_messages_and_their_deadlines_and_disturbs_nobody(tmp_path):
+    async def story():
+        async with ScriptedBroker() as broker, ScriptedBroker() as other:
+            written = text({"orders": [broker.dial], "others": [other.dial]}, deadline="6 s")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("first", "charge", 1)
+                await until(lambda: broker.effects)
+                broker.block("low on memory")
+                await asyncio.sleep(0.05)
+                for n in range(20):
+                    assert await station.resp(f"m{n}", "charge", 1, span=6000)
+                    assert await station.resp(f"short{n}", "charge", 1, span=500)
+                    assert await station.resp(f"o{n}", "charge", 2, span=6000)
+                await until(lambda: len(other.effects) == 20)
+                await until(lambda: len(station.sink.told) == 20)
+                # Nothing was published meanwhile, so those whose time was up may be handed in again.
+                assert station.sink.ends == {f"short{n}": "handed_back" for n in range(20)}
+                assert len(broker.published) == 1
+                broker.block("")
+                await station.settled()
+                assert broker.effects == {"first": 1} | {f"m{n}": 1 for n in range(20)}
+
+    drive(story())
+
+
+def test_a_drained_broker_gets_nothing_new_and_its_confirms_are_awaited(tmp_path):
+    async def story():
+        async with ScriptedBroker(lambda m: "hold") as broker, ScriptedBroker() as other:
+            written = text({"orders": [broker.dial, other.dial]}, slots=64)
+            async with Station(tmp_path, written) as station:
+                stop = asyncio.Event()
+
+                async def burst():
+                    n = 0
+                    while not stop.is_set():
+                        await station.resp(f"m{n}", "charge", 1)
+                        n += 1
+                    return n
+
+                bursting = asyncio.create_task(burst())
+                await until(lambda: broker.held)
+                loop = asyncio.get_running_loop()
+                now = loop.time()
+                listed = [
+                    host if not host.name.endswith(broker.dial) else
+                    type(host)(**{f: getattr(host, f) for f in host.__slots__} | {"health": Condition.DRAINING})
+                    for host in station.list.listed
+                ]  # fmt: skip
+                station.list.set(listed)
+                await asyncio.sleep(0.8)
+                late = [name for at, name, *_ in broker.published if at > now + 0.5]
+                assert not late
+                assert broker.connections  # the connection stays up for the confirms
+                stop.set()
+                count = await bursting
+                broker.release()
+                await station.settled()
+                await until(lambda: not broker.connections)
+                assert not station.sink.told
+                effects = {**broker.effects, **other.effects}
+                assert effects == {f"m{n}": 1 for n in range(count)}
+
+    drive(story())
+
+
+def test_a_broker_that_refuses_the_login_gets_nothing_and_the_message_comes_back(tmp_path):
+    async def story():
+        def other_password(broker):
+            broker.password = "another"
+
+        effects, end, published = await one(tmp_path, lambda m: "ack", before=other_password)
+        assert (effects, end, published) == (0, "handed_back", 0)
+
+    drive(story())
+
+
+def test_a_broker_that_allows_fewer_channels_is_published_to(tmp_path):
+    async def story():
+        from rainpier.amqp.connection import Limits
+
+        async with ScriptedBroker() as broker:
+            broker.limits = Limits(4096, 1)
+            async with Station(tmp_path, text({"orders": [broker.dial]}, kind="channels = 8")) as station:
+                for n in range(10):
+                    assert await station.resp(f"m{n}", "render", 1, bytes(9000), key=n + 1, token=f"t{n}")
+                await station.settled()
+                assert len(broker.effects) == 10 and set(map(len, broker.bodies.values())) == {9000}
+
+    drive(story())
+
+
+def test_a_silent_broker_is_given_up_after_two_heartbeats(tmp_path):
+    async def story():
+        async with ScriptedBroker(lambda m: "drop") as broker:
+            written = text({"orders": [broker.dial]}, kind='heartbeat = "1 s"', deadline="8 s")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("m", "charge", 1)
+                await until(lambda: broker.published)
+                for connection in broker.connections:
+                    connection.transport.pause_reading()  # it says nothing from here on
+                begun = asyncio.get_running_loop().time()
+                await station.settled()
+                took = asyncio.get_running_loop().time() - begun
+                assert station.sink.told == [("m", "given_up")] and 1.0 < took < 6.0
+
+    drive(story())
+
+
+def test_routing_keys_and_exchanges_are_filled_in(tmp_path):
+    async def story():
+        async with ScriptedBroker() as broker:
+            broker.vhost, broker.user, broker.password = "media", "app", "secret-word"
+            settings = 'vhost = "media"\nuser = "app"\npassword = "secret-word"\nexchange = "jobs"\nrouting_key = "{class}.{destination}.{key}"'
+            async with Station(tmp_path, text({"orders": [broker.dial]}, broker=settings)) as station:
+                assert await station.resp("a", "render", 1, key=0xAB, token="t")
+                assert await station.resp("b", "notice", 1)
+                await station.settled()
+                assert {(name, key, exchange) for _, name, key, exchange in broker.published} == {
+                    ("a", "render.orders.00000000000000ab", "jobs"), ("b", "notice.orders", "jobs"),
+                }  # fmt: skip
+
+    drive(story())
--- /dev/null
+++ b/tests/standins/station.py
@@ -0,0 +1,136 @@
+"""A whole sidecar inside the test's own process: node, RESP and AMQP fronts, and a sink that keeps its lines."""
+
+import asyncio
+import contextlib
+
+from rainpier.config.check import check_text
+from rainpier.config.place import place
+from rainpier.demo.client import Client, Handed, Message
+from rainpier.demo.publisher import Publisher
+from rainpier.fronts.amqp.desk import desk_of
+from rainpier.fronts.amqp.server import Front
+from rainpier.fronts.resp.server import Clients
+from rainpier.membership.file import FileList, hosts
+from rainpier.node.node import Node
+from rainpier.sinks.sink import Sink
+
+HEAD = """version = 1
+[sidecar]
+name = "app"
+state = "state"
+[resp]
+listen = "127.0.0.1:0"
+[amqp]
+listen = "127.0.0.1:0"
+{amqp}
+[limits]
+slots = {slots}
+held = {held}
+[class.notice]
+effect = "safe"
+aim = "200 ms"
+deadline = "{deadline}"
+late_worth = 0.5
+[class.render]
+effect = "keyed"
+aim = "200 ms"
+deadline = "{deadline}"
+late_worth = 0.5
+order = true
+key = "video"
+repeat_window = "60 s"
+[class.charge]
+effect = "unsafe"
+aim = "200 ms"
+deadline = "{deadline}"
+late_worth = 0.5
+[kind.single]
+batch = 1
+[kind.broker]
+protocol = "amqp"
+{kind}
+"""
+
+
+def text(
+    brokers=(), http=(), amqp="", kind="", deadline="8 s", slots=64, held=2000, rate="2000/s", broker=""
+):
+    """`brokers` and `http`: names with the dials of their endpoints; they are numbered from 1 in that order."""
+    parts = [HEAD.format(amqp=amqp, kind=kind, deadline=deadline, slots=slots, held=held)]
+    for number, (name, dials, protocol) in enumerate(
+        [(n, d, "broker") for n, d in dict(brokers).items()]
+        + [(n, d, "single") for n, d in dict(http).items()],
+        1,
+    ):
+        listed = ", ".join(f'"{dial}"' for dial in dials)
+        more = broker if protocol == "broker" else ""
+        parts.append(
+            f'[destination.{name}]\nnumber = {number}\nkind = "{protocol}"\nrate = "{rate}"\n{more}\nendpoints = [{listed}]\n'
+        )
+    return "\n".join(parts)
+
+
+class Lines(Sink):
+    """Keeps every end that it is told."""
+
+    def __init__(self):
+        super().__init__()
+        self.told = []
+
+    async def tell(self, batch):
+        self.told += [(entry.id, entry.end) for entry in batch]
+        await asyncio.sleep(0)
+        return True
+
+    @property
+    def ends(self):
+        return dict(self.told)
+
+
+class Station:
+    """`folder` outlasts it: another one on the same folder takes up what it left."""
+
+    def __init__(self, folder, written, seed=7):
+        loaded = check_text(written, str(folder / "app.toml"))
+        wrong = [problem for problem in loaded.problems if problem.code.startswith("E")]
+        assert not wrong, [str(problem) for problem in wrong]
+        self.model, self.seed = loaded.model, seed
+        self.model.file = folder / "app.toml"
+        self.sink = Lines()
+
+    async def __aenter__(self):
+        config = place(self.model, self.seed)
+        config.state.mkdir(exist_ok=True)
+        self.list = FileList(hosts(self.model))
+        self.node = Node(config, self.list, self.sink)
+        self.front = Front(desk_of(self.node, config), config.amqp, lambda: self.node.full)
+        await self.node.start()
+        self.clients = Clients(self.node.put, 64)
+        await self.clients.listen(("127.0.0.1", 0))
+        await self.front.listen()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.front.close(0.2)
+        await self.clients.close(0.2)
+        self.node.close()
+
+    @property
+    def port(self):
+        return self.front.port
+
+    async def publisher(self):
+        return await Publisher.connect(self.port)
+
+    async def resp(self, message, cls, destination, body=b"x", key=0, token="", span=8000):
+        handed = Handed()
+        client = Client(self.clients.port, handed)
+        with contextlib.closing(client):
+            await client.hand_in(Message(message, cls, destination, span, body, key, token))
+        return message in handed.taken
+
+    async def settled(self, patience=20.0):
+        """Until nothing is held any more."""
+        async with asyncio.timeout(patience):
+            while self.node.store.entries or self.node.intake or self.sink.waiting:
+                await asyncio.sleep(0.01)
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -257,11 +257,11 @@
     image = closed()
     name = max(n for n in image if n.endswith(".seg"))
     data = bytearray(image[name])
-    data[8] = 2
+    data[8] = 3
     data[28:32] = zlib.crc32(bytes(data[:28])).to_bytes(4, "little")
     disk = Disk(image | {name: bytes(data)})
     before = disk.image()
-    with pytest.raises(StoreError, match="format version 2"):
+    with pytest.raises(StoreError, match="format version 3"):
         opened(disk)
     assert disk.image() == before
 
