--- a/rainpier/fronts/amqp/session.py
+++ b/rainpier/fronts/amqp/session.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import math
 import re
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 
 B, E, Q, T = commands.Basic, commands.Exchange, commands.Queue, commands.Tx
 Answer = asyncio.Future[bytes] | bytes
+log = logging.getLogger(__name__)
 OK = b"+OK\r\n"
 BUSY = re.compile(rb"-BUSY (\d+)\r\n")
 TYPES = ("direct", "topic")  # that the exchange may be declared as
@@ -172,6 +174,10 @@
         except ConnectionRefusal as refusal:
             self.wire.close(refusal.code, str(refusal), f.number(method))
             self.end()
+        except Exception:  # guards the others: this connection alone ends
+            log.exception("amqp: %s failed", method.name)
+            self.wire.close(codes.INTERNAL_ERROR, "internal error", f.number(method))
+            self.end()
 
     def drop(self, number: int) -> None:
         """A channel is gone: what it had and did not acknowledge goes back in its order."""
@@ -415,7 +421,7 @@
     def qos(self, lane: Lane, method: B.Qos) -> None:
         if method.prefetch_size:
             raise ConnectionRefusal(codes.NOT_IMPLEMENTED, "prefetch-size")
-        if method.globally:
+        if method.global_:
             lane.prefetch = method.prefetch_count
         else:
             lane.each = method.prefetch_count
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -17,7 +17,7 @@
 from ..fronts.resp.requests import Put, error
 from ..membership.platform import read_hosts
 from ..membership.source import Host, Source
-from ..policy import Sender
+from ..policy import EVICT_AT, Sender
 from ..sinks.sink import Sink
 from ..store.commit import Commit
 from ..store.entry import Entry
@@ -289,8 +289,9 @@
 
     @property
     def full(self) -> bool:
-        """No message can be taken on now."""
-        return len(self.store.entries) + len(self.intake) >= self.s.max_open or not self.store.room(b"")
+        """A message that is taken on now costs another one its place, or there is no room at all."""
+        most = max(1, math.floor(EVICT_AT * self.s.max_open))
+        return len(self.store.entries) + len(self.intake) >= most or not self.store.room(b"")
 
     def held_for(self, destination: int) -> int:
         return sum(entry.destination == destination for entry in self.store.entries.values())
--- a/tests/amqp/test_carrier.py
+++ b/tests/amqp/test_carrier.py
@@ -226,7 +226,7 @@
 
 def test_a_drained_broker_gets_nothing_new_and_its_confirms_are_awaited(tmp_path):
     async def story():
-        async with ScriptedBroker(lambda m: "hold") as broker, ScriptedBroker() as other:
+        async with ScriptedBroker(lambda m: "hold") as broker, ScriptedBroker(lambda m: "hold") as other:
             written = text({"orders": [broker.dial, other.dial]}, slots=64)
             async with Station(tmp_path, written) as station:
                 stop = asyncio.Event()
@@ -239,7 +239,9 @@
                     return n
 
                 bursting = asyncio.create_task(burst())
-                await until(lambda: broker.held)
+                await until(lambda: broker.held and other.held)
+                other.script = lambda m: "ack"
+                other.release()
                 loop = asyncio.get_running_loop()
                 now = loop.time()
                 listed = [
