--- a/rainpier/carriers/amqp/brokers.py
+++ b/rainpier/carriers/amqp/brokers.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Mapping
+from functools import partial
 
 from pamqp import commands
 
 from ... import interface as i
 from ...store.entry import Entry
-from ..http.receivers import NO_DESCRIPTOR, Call, Ending, MayWrite
+from ..http.receivers import NO_DESCRIPTOR, Call, Early, Ending, MayWrite
 from .link import Link, NoLink, connect
 from .options import BrokerOptions
 from .outcomes import TABLE, Lane, Publish, What
@@ -89,14 +90,14 @@
 
     # --- calls ---
 
-    async def run(self, call: Call, may_write: MayWrite) -> Ending:
+    async def run(self, call: Call, may_write: MayWrite, early: Early) -> Ending:
         """One attempt of each of the call's messages: their publishes, and the confirms until time is up."""
         out: list[Publish] = []
         try:
             async with asyncio.timeout_at(call.until):
                 link, lanes = await self.ready(call, may_write)
                 out = self.publish(call, link, lanes)
-                await self.confirms(out)
+                await self.confirms(call, out, early)
             return self.ending(out, What.OVERDUE)
         except Unsent as unsent:
             return self.unsent(call, unsent.what, unsent.wait)
@@ -108,21 +109,24 @@
             log.exception("publishing to %s:%d failed", *self.address)
             return self.ending(out, What.CONNECTION_LOST) if out else self.unsent(call, What.LOST_UNWRITTEN)
 
-    async def confirms(self, out: list[Publish]) -> None:
-        """Until each has its outcome. Its cost is that of its own messages, whatever else is out."""
+    async def confirms(self, call: Call, out: list[Publish], early: Early) -> None:
+        """Until each has its outcome. A lost confirm holds up its own message, and none of the others."""
         done = self.loop.create_future()
-        open_ones = [publish for publish in out if publish.what is None]
-        left = len(open_ones)
+        left = sum(publish.what is None for publish in out)
 
-        def settled() -> None:
+        def settled(entry: Entry, what: What) -> None:
             nonlocal left
             left -= 1
-            if not left and not done.done():
+            if done.done():
+                return
+            if left:
+                early(call, entry, TABLE[what])
+            else:
                 done.set_result(None)
 
-        for publish in open_ones:
-            publish.settled = settled
-        if open_ones:
+        for entry, publish in zip(call.entries, out, strict=True):
+            publish.settled = partial(settled, entry)
+        if left:
             await done
 
     async def ready(self, call: Call, may_write: MayWrite) -> tuple[Link, list[Lane]]:
--- a/rainpier/carriers/amqp/outcomes.py
+++ b/rainpier/carriers/amqp/outcomes.py
@@ -72,12 +72,12 @@
     what: What | None = None  # what became of it
     returned: bool = False
     given_up: bool = False  # nobody waits for it any more, while its confirm may still come
-    settled: Callable[[], None] | None = None  # called once, when it is known what became of it
+    settled: Callable[[What], None] | None = None  # called once, when it is known what became of it
 
     def become(self, what: What) -> None:
         self.what = what
         if self.settled is not None:
-            self.settled()
+            self.settled(what)
 
 
 @dataclass(slots=True)
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -33,7 +33,9 @@
 class Carrier(Protocol):
     """What carries the calls to one endpoint by another protocol."""
 
-    async def run(self, call: "Call", may_write: "MayWrite") -> "Ending": ...
+    async def run(self, call: "Call", may_write: "MayWrite", early: "Early") -> "Ending":
+        """`early`: for a message whose outcome is known while others of its call are still out."""
+        ...
 
     def move(self, address: tuple[str, int], ready: bool) -> None: ...
 
@@ -85,6 +87,7 @@
     report: tuple[float, ...] = ()
 
 
+Early = Callable[[Call, Entry, Outcome], None]
 MayWrite = Callable[[Call], bool | asyncio.Future[bool]]
 
 
@@ -161,6 +164,7 @@
         self.s, self.may_write, self.ended, self.most = settings, may_write, ended, most
         self.loop = asyncio.get_running_loop()
         self.brokers: Carriers | None = None
+        self.early: Early = lambda call, entry, outcome: None
         self.calls: set[Call] = set()
         self.listed: dict[int, Receiver] = {}
         self.parked: dict[Connection, Receiver] = {}  # all idle connections, the oldest first
@@ -203,6 +207,7 @@
     def close(self) -> None:
         """End all calls, with nothing told any more."""
         self.ended = lambda call, ending: None
+        self.early = lambda call, entry, outcome: None
         for call in self.calls:
             if call.task is not None:
                 call.task.cancel()
@@ -214,7 +219,7 @@
 
     async def run(self, call: Call) -> None:
         if call.receiver.broker is not None:
-            ending = await call.receiver.broker.run(call, self.may_write)
+            ending = await call.receiver.broker.run(call, self.may_write, self.early)
             self.finish(call, None, ending)
             return
         ending, connection = None, None
--- a/rainpier/demo/broker.py
+++ b/rainpier/demo/broker.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 
 from pamqp import commands
 
@@ -24,6 +25,7 @@
         self.wire = a.Server(broker.limits, self.loop.time(), broker.login, lambda name: name == broker.vhost)
         self.transport: asyncio.Transport | None = None
         self.open = False
+        self.lives: Counter[int] = Counter()  # by channel: how often it was closed
         self.tags: dict[int, int] = {}  # by channel: the last publish's tag, where confirms are on
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -55,6 +57,7 @@
                 self.broker.on_open(self)
             case a.ChannelClosed(number):
                 self.tags.pop(number, None)
+                self.lives[number] += 1
             case a.Method(number, commands.Confirm.Select()):
                 self.tags[number] = 0
                 self.wire.send(number, commands.Confirm.SelectOk())
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -62,6 +62,7 @@
         self.remembered = (dict(known.waits), dict(known.outages))
         self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.for_calls)
         self.receivers.brokers = Brokers(self.s, config.brokers)
+        self.receivers.early = self.on_early
         self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
         self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
         self.events: list[i.Event] = []
@@ -409,7 +410,8 @@
             call.entries, call.attempts, ending.outcomes, strict=True
         ):
             if entry.number in call.settled:
-                self.release(entry)
+                if self.out.get(entry.number) is call:  # else another attempt of it may be out by now
+                    self.release(entry)
                 continue
             closed = nothing_owed or outcome is i.Outcome.OK
             over.append(entry) if closed else owed.append((entry, outcome))
@@ -420,6 +422,20 @@
             self.store.over(over)
         self.store.results(owed)
 
+    def on_early(self, call: Call, entry: Entry, outcome: i.Outcome) -> None:
+        """A message has its outcome while its call goes on for the others."""
+        if not call.open or entry.number in call.settled:
+            return
+        call.settled.add(entry.number)
+        attempt, closed = call.attempts[call.entries.index(entry)], outcome is i.Outcome.OK
+        if closed and not entry.end:
+            self.tell(entry, DELIVERED)
+        self.settle(call, entry, attempt, outcome, closed, Ending([]))
+        if closed:
+            self.store.over([entry])
+        else:
+            self.store.results([(entry, outcome)])
+
     def log_failures(self, call: Call, ending: Ending) -> None:
         """For those who look into an outage; refusals are a destination's daily business."""
         took = (self.loop.time() - call.started) * 1000
--- a/tests/amqp/test_confirms.py
+++ b/tests/amqp/test_confirms.py
@@ -16,7 +16,7 @@
     made, out = lane(6)
     counts = dict.fromkeys(range(6), 0)
     for n, publish in enumerate(out):
-        publish.settled = lambda n=n: counts.__setitem__(n, counts[n] + 1)
+        publish.settled = lambda what, n=n: counts.__setitem__(n, counts[n] + 1)
     made.confirmed(3, False, True)
     made.confirmed(2, False, False)
     made.confirmed(5, True, True)
@@ -80,7 +80,7 @@
         made, out = lane(draw.randrange(1, 30))
         times = [0] * len(out)
         for n, publish in enumerate(out):
-            publish.settled = lambda n=n, times=times: times.__setitem__(n, times[n] + 1)
+            publish.settled = lambda what, n=n, times=times: times.__setitem__(n, times[n] + 1)
         for _ in range(draw.randrange(40)):
             made.confirmed(draw.randrange(1, len(out) + 1), draw.random() < 0.3, draw.random() < 0.8)
         list(made.end(What.CONNECTION_LOST))
--- a/tests/standins/broker.py
+++ b/tests/standins/broker.py
@@ -18,6 +18,7 @@
         self.published = []  # (loop time, id, routing key, exchange)
         self.held = []  # (connection, channel, tag)
         self.bodies = {}
+        self.alive = {}  # of what is held: which life of its channel it came in
 
     async def __aenter__(self):
         await self.start()
@@ -66,6 +67,7 @@
                 connection.ack(channel, tag)
             case "hold":
                 self.held.append((connection, channel, tag))
+                self.alive[connection, channel, tag] = connection.lives[channel]
             case "close":
                 connection.close_channel(channel, int(code))
             case "end":
@@ -77,4 +79,5 @@
         """Confirm what is held, in the order of their coming, or in that of `order(held)`."""
         held, self.held = self.held, []
         for connection, channel, tag in (order or list)(held):
-            connection.ack(channel, tag)
+            if self.alive.pop((connection, channel, tag)) == connection.lives[channel]:
+                connection.ack(channel, tag)
