Document AMQP with an example that runs, and mend what a review of the carrier found

Need: operators need the pages, and a second reading found: a publish that could not be written in the midst of a batch made the earlier ones count as never written, so that a charge could be published twice; a drained broker's connection stayed for a confirm that was lost; a connection that came up after its drain word was kept; who published again before the first confirm got no end.

--- a/rainpier/carriers/amqp/brokers.py
+++ b/rainpier/carriers/amqp/brokers.py
@@ -36,6 +36,7 @@
         self.link: Link | None = None
         self.links: set[Link] = set()  # those that are retiring too
         self.connecting: asyncio.Task[Link] | None = None
+        self.listed_ready = True
         self.logged = -LOGGED
 
     # --- the connection ---
@@ -45,7 +46,7 @@
         if self.link is not None and (not ready or address != self.address):
             link, self.link = self.link, None
             link.retire()
-        self.address = address
+        self.address, self.listed_ready = address, ready
 
     def close(self) -> None:
         if self.connecting is not None:
@@ -79,7 +80,9 @@
             if link is not None:
                 link.abort()
             raise NoLink("no connection in time") from None
-        if address == self.address:
+        if address != self.address or not self.listed_ready:  # what the list said while it came up
+            link.retire()
+        else:
             self.link = link
         return link
 
@@ -96,18 +99,18 @@
         try:
             async with asyncio.timeout_at(call.until):
                 link, lanes = await self.ready(call, may_write)
-                out = self.publish(call, link, lanes)
+                self.publish(call, link, lanes, out)
                 await self.confirms(call, out, early)
-            return self.ending(out, What.OVERDUE)
+            return self.ending(call, out, What.OVERDUE)
         except Unsent as unsent:
             return self.unsent(call, unsent.what, unsent.wait)
         except TimeoutError:
-            return self.ending(out, What.OVERDUE) if out else self.unsent(call, What.NO_CHANNEL)
+            return self.ending(call, out, What.OVERDUE) if out else self.unsent(call, What.NO_CHANNEL)
         except asyncio.CancelledError:  # called off: the task has nothing else to wait for
-            return self.ending(out, What.CALLED_OFF) if out else self.unsent(call, What.NOT_ALLOWED)
+            return self.ending(call, out, What.CALLED_OFF) if out else self.unsent(call, What.NOT_ALLOWED)
         except Exception:
             log.exception("publishing to %s:%d failed", *self.address)
-            return self.ending(out, What.CONNECTION_LOST) if out else self.unsent(call, What.LOST_UNWRITTEN)
+            return self.ending(call, out, What.CONNECTION_LOST)
 
     async def confirms(self, call: Call, out: list[Publish], early: Early) -> None:
         """Until each has its outcome. A lost confirm holds up its own message, and none of the others."""
@@ -171,15 +174,16 @@
         lanes = [lane for lane in found if lane is not None]
         return lanes if len(lanes) == len(found) else None
 
-    def publish(self, call: Call, link: Link, lanes: list[Lane]) -> list[Publish]:
+    def publish(self, call: Call, link: Link, lanes: list[Lane], out: list[Publish]) -> None:
+        """Adds each to `out` as it is written: whatever fails between two, the first one may have run."""
         link.calls += 1
         call.uses, call.written = link.calls, True
-        out = [
-            link.publish(lane, self.options.route(entry), self.properties(entry), entry.body)
-            for entry, lane in zip(call.entries, lanes, strict=True)
-        ]
-        link.flush()
-        return out
+        try:
+            for entry, lane in zip(call.entries, lanes, strict=True):
+                route, told = self.options.route(entry), self.properties(entry)
+                out.append(link.publish(lane, route, told, entry.body))
+        finally:
+            link.flush()
 
     @staticmethod
     def properties(entry: Entry) -> commands.Basic.Properties:
@@ -194,8 +198,11 @@
 
     # --- outcomes ---
 
-    def ending(self, out: list[Publish], otherwise: What) -> Ending:
-        """What became of each; `otherwise` for those without a word, whose confirm may still come."""
+    def ending(self, call: Call, out: list[Publish], otherwise: What) -> Ending:
+        """What became of each; `otherwise` for those without a word, whose confirm may still come.
+
+        Those of the call that are not in `out` were never written.
+        """
         outcomes = []
         for publish in out:
             what = publish.what
@@ -205,6 +212,9 @@
             elif what not in (What.ACKED, What.OVERDUE):
                 self.complain(f"message {publish.message}: {what.value}")
             outcomes.append((TABLE[what], False))
+        outcomes += [(TABLE[What.LOST_UNWRITTEN], False)] * (len(call.entries) - len(out))
+        for link in list(self.links):  # one that retires may have waited for these alone
+            link.wake()
         return Ending(outcomes)
 
     @staticmethod
--- a/rainpier/carriers/amqp/link.py
+++ b/rainpier/carriers/amqp/link.py
@@ -162,9 +162,15 @@
             if not future.done():
                 future.set_result(None)
         self.changed.clear()
-        if self.retiring and not self.over and not any(lane.out for lane in self.lanes.values()):
+        if self.retiring and not self.over and not self.awaited:
             self.say_goodbye()
 
+    @property
+    def awaited(self) -> bool:
+        """Somebody waits for a confirm."""
+        out = (publish for lane in self.lanes.values() for publish in lane.out.values())
+        return any(not publish.given_up for publish in out)
+
     def finish(self, what: What, why: str) -> None:
         if self.over:
             return
--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -454,11 +454,13 @@
 
 @main.command()
 @click.option("--messages", default=1000, show_default=True, type=click.IntRange(1, 1_000_000))
-def demo(messages: int) -> None:
+@click.option("--front", default="resp", type=click.Choice(["resp", "amqp"]), help="How clients hand in.")
+@click.option("--carrier", default="http", type=click.Choice(["http", "amqp"]), help="What endpoints speak.")
+def demo(messages: int, front: str, carrier: str) -> None:
     """A sidecar among receivers that are slow, refuse, die and return; ends with a table."""
     from ..demo.run import demo as start
 
-    report = start(messages, lambda text: click.echo(text))
+    report = start(messages, lambda text: click.echo(text), front, carrier)
     click.echo(report.table())
     click.echo(report.line())
     sys.exit(0 if report.good else MISTAKES)
--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -20,6 +20,7 @@
 CHARGES = ("charge", "bill", "payment", "invoice", "debit", "refund", "payout")  # in a class's name: money
 
 START, LIVE = "start", "live"
+SHORT = t.Text("text of 1 to 100 characters", r"[ -~]{1,100}")  # with names filled in: a short string of AMQP
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +81,12 @@
         "The user's password.",
         "",
     )
-    vhost: str = setting(t.Text("text"), "The one virtual host.", "/")
+    vhost: str = setting(SHORT, "The one virtual host.", "/")
     exchange: str = setting(
         t.Text("name", r"[A-Za-z0-9_.:-]{1,127}"), "The exchange that stands for all routes.", "rainpier"
     )
     routing_key: str = setting(
-        t.Text("text"),
+        SHORT,
         "What a routing key says, from {class}, {destination} and {key}; headers go before it.",
         "{class}.{destination}.{key}",
     )
@@ -272,14 +273,15 @@
     rate: float | None = setting(
         t.rate(1e-6), "Calls a second that it takes from all senders, roughly.", None, LIVE
     )
-    vhost: str = setting(t.Text("text"), "amqp: virtual host.", "/")
+    vhost: str = setting(SHORT, "amqp: virtual host.", "/")
     user: str = setting(t.Text("text", r"[!-~]{1,128}"), "amqp: who logs in.", "guest")
     password: str = setting(t.Text("text", r"[!-~]{1,256}"), "amqp: the user's password.", "guest")
     exchange: str = setting(
-        t.Text("text", empty=True), "amqp: exchange to publish to; empty: the default exchange.", ""
+        t.Text("text of at most 100 characters", r"[ -~]{1,100}", empty=True),
+        "amqp: exchange to publish to; empty: the default exchange.", ""
     )
     routing_key: str = setting(
-        t.Text("text"), "amqp: routing key; {class}, {destination} and {key} are filled in.", "{destination}"
+        SHORT, "amqp: routing key; {class}, {destination} and {key} are filled in.", "{destination}"
     )
     endpoints: list[Endpoint] = field(default_factory=list)
 
--- a/rainpier/demo/broker.py
+++ b/rainpier/demo/broker.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
-from collections import Counter
+import random
+from collections import Counter, deque
 
 from pamqp import commands
 
 from ..amqp import connection as a
 from ..amqp.channel import Content
+from .receivers import Behaviour, Ledger, live
 
 B, E, Q = commands.Basic, commands.Exchange, commands.Queue
 BEAT = 0.25  # s between looks at heartbeats
@@ -108,7 +110,6 @@
     """Listens on a port of its own, which it keeps over its death."""
 
     def __init__(self, limits: a.Limits = LIMITS) -> None:
-        self.loop = asyncio.get_running_loop()
         self.limits, self.vhost, self.port = limits, "/", 0
         self.user, self.password = "guest", "guest"  # noqa: S105
         self.connections: set[BrokerConnection] = set()
@@ -116,6 +117,7 @@
         self.blocked, self.accepted = "", 0
 
     async def start(self) -> None:
+        self.loop = asyncio.get_running_loop()
         self.server = await self.loop.create_server(self.make, "127.0.0.1", self.port, backlog=128)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -148,3 +150,31 @@
     def on_publish(self, connection: BrokerConnection, channel: int, tag: int, content: Content) -> None:
         """Confirmed at once, where confirms are on."""
         connection.ack(channel, tag)
+
+
+class BrokerReceiver(Broker):
+    """A broker that behaves as a receiver of the demo does; at its limit it blocks publishing for a while."""
+
+    def __init__(self, name: str, ledger: Ledger, behaviour: Behaviour, seed: int) -> None:
+        super().__init__()
+        self.name, self.ledger, self.behaviour = name, ledger, behaviour
+        self.random, self.recent = random.Random(seed), deque[float]()
+        self.calls = self.refused = self.cut = 0
+
+    async def live(self) -> None:
+        await live(self)
+
+    def on_publish(self, connection: BrokerConnection, channel: int, tag: int, content: Content) -> None:
+        """It takes effect before half of its time is over, and is confirmed at the end of it."""
+        self.calls += 1
+        message, headers = str(content.properties.message_id), content.properties.headers or {}
+        self.ledger.calls[message] = self.ledger.calls.get(message, 0) + 1
+        if self.behaviour.full(self.recent, self.loop.time()) and not self.blocked:
+            self.refused += 1
+            self.block("too many publishes")
+            self.loop.call_later(self.behaviour.wait / 1000, self.block, "")
+        slow = self.random.random() < self.behaviour.slow_share
+        took = self.behaviour.latency * (10 if slow else 1) * self.random.uniform(0.5, 1.5)
+        token = str(headers.get("x-idempotency-key", ""))
+        self.loop.call_later(took / 2, self.ledger.run, message, token, content.body)
+        self.loop.call_later(took, connection.ack, channel, tag)
--- a/rainpier/demo/receivers.py
+++ b/rainpier/demo/receivers.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import httptools
 
@@ -55,6 +56,34 @@
     dies_at: float = 0.0  # s after the start of the traffic; 0: never
     away: float = 0.0  # s until it is back
 
+    def full(self, recent: deque[float], now: float) -> bool:
+        """Whether one more is beyond the limit; `recent`: when those within the last second came."""
+        if not self.limit:
+            return False
+        while recent and recent[0] < now - 1:
+            recent.popleft()
+        if len(recent) >= self.limit:
+            return True
+        recent.append(now)
+        return False
+
+
+class Mortal(Protocol):
+    behaviour: Behaviour
+
+    async def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+async def live(receiver: Mortal) -> None:
+    """Die and return as its behaviour says."""
+    if receiver.behaviour.dies_at:
+        await asyncio.sleep(receiver.behaviour.dies_at)
+        receiver.stop()
+        await asyncio.sleep(receiver.behaviour.away)
+        await receiver.start()
+
 
 class Receiver:
     """One receiver on a port of its own, which it keeps over its death."""
@@ -81,22 +110,7 @@
             connection.abort()
 
     async def live(self) -> None:
-        """Die and return as its behaviour says."""
-        if self.behaviour.dies_at:
-            await asyncio.sleep(self.behaviour.dies_at)
-            self.stop()
-            await asyncio.sleep(self.behaviour.away)
-            await self.start()
-
-    def full(self, now: float) -> bool:
-        if not self.behaviour.limit:
-            return False
-        while self.recent and self.recent[0] < now - 1:
-            self.recent.popleft()
-        if len(self.recent) >= self.behaviour.limit:
-            return True
-        self.recent.append(now)
-        return False
+        await live(self)
 
     async def handle(self, headers: dict[str, str], body: bytes) -> bytes:
         """The answer to one call; what runs, runs before half of its time is over."""
@@ -105,7 +119,7 @@
         messages = read_messages(headers, body)
         for message, _, _ in messages:
             self.ledger.calls[message] = self.ledger.calls.get(message, 0) + 1
-        if self.full(loop.time()):
+        if self.behaviour.full(self.recent, loop.time()):
             self.refused += 1
             return answer(429, b"", f"X-Retry-In-Ms: {self.behaviour.wait}\r\n")
         slow = self.random.random() < self.behaviour.slow_share
--- a/rainpier/demo/run.py
+++ b/rainpier/demo/run.py
@@ -12,7 +12,8 @@
 
 from ..config.check import SOCKET
 from ..control.server import ask
-from .client import Client, Handed, Message
+from .broker import BrokerReceiver
+from .client import AmqpClient, Client, Handed, Message
 from .receivers import Behaviour, Ledger, Receiver
 
 RATE = 250.0  # messages a second that are handed in
@@ -31,6 +32,12 @@
 state = "state"
 [resp]
 listen = "127.0.0.1:0"
+[amqp]
+listen = "127.0.0.1:0"
+[kind.single]
+batch = 1
+[kind.broker]
+protocol = "amqp"
 [sink]
 file = "ends.jsonl"
 [class.notice]
@@ -84,15 +91,19 @@
                 f"{self.twice} twice, {self.out_of_order} out of order")  # fmt: skip
 
 
-def receivers(ledger: Ledger, length: float) -> dict[str, list[Receiver]]:
+Endpoint = Receiver | BrokerReceiver
+
+
+def receivers(ledger: Ledger, length: float, carrier: str = "http") -> dict[str, list[Endpoint]]:
     """By destination: one is slow now and then, one refuses with a wait, one dies and returns."""
     made = {
         "thumbnails": [Behaviour(), Behaviour(0.02, slow_share=0.2)],
         "renders": [Behaviour(0.01), Behaviour(0.01, dies_at=0.3 * length, away=0.3 * length)],
         "billing": [Behaviour(0.01, limit=RATE / 15), Behaviour(0.02)],
     }
+    kind = BrokerReceiver if carrier == "amqp" else Receiver
     return {
-        name: [Receiver(f"{name}-{n}", ledger, one, SEED + 10 * d + n) for n, one in enumerate(behaviours)]
+        name: [kind(f"{name}-{n}", ledger, one, SEED + 10 * d + n) for n, one in enumerate(behaviours)]
         for d, (name, behaviours) in enumerate(made.items())
     }
 
@@ -114,30 +125,34 @@
     return found
 
 
-def configuration(made: dict[str, list[Receiver]]) -> str:
-    parts = [CONFIG]
+def configuration(made: dict[str, list[Endpoint]], carrier: str = "http") -> str:
+    parts, kind = [CONFIG], "broker" if carrier == "amqp" else "single"
     for name, some in made.items():
         listed = ", ".join(f'"127.0.0.1:{receiver.port}"' for receiver in some)
         parts.append(
-            f'[destination.{name}]\nnumber = {NUMBERS[name]}\nrate = "{RATE:.0f}/s"\nendpoints = [{listed}]\n'
+            f'[destination.{name}]\nnumber = {NUMBERS[name]}\nkind = "{kind}"\nrate = "{RATE:.0f}/s"\n'
+            f"endpoints = [{listed}]\n"
         )
     return "\n".join(parts)
 
 
 class Demo:
-    def __init__(self, folder: Path, count: int, say: Say) -> None:
-        self.folder, self.count, self.say = folder, count, say
+    def __init__(
+        self, folder: Path, count: int, say: Say, front: str = "resp", carrier: str = "http"
+    ) -> None:
+        self.folder, self.count, self.say, self.front, self.carrier = folder, count, say, front, carrier
         self.ledger, self.handed = Ledger(), Handed()
-        self.made = receivers(self.ledger, count / RATE)
+        self.made = receivers(self.ledger, count / RATE, carrier)
         self.socket = folder / "state" / SOCKET
         self.file = folder / "sidecar.toml"
         self.process: asyncio.subprocess.Process | None = None
+        self.clients: list[Client | AmqpClient] = []
 
     async def run(self) -> Report:
         every = [receiver for some in self.made.values() for receiver in some]
         for receiver in every:
             await receiver.start()
-        self.file.write_text(configuration(self.made))
+        self.file.write_text(configuration(self.made, self.carrier))
         lives: list[asyncio.Task] = []
         try:
             port = await self.start()
@@ -148,7 +163,11 @@
             await self.hand_in(port)
             await self.settle()
             await asyncio.sleep(0)
+            if self.front == "amqp":
+                self.say(f"ends heard from reply queues: {len(self.handed.heard)}")
         finally:
+            for client in self.clients:
+                client.close()
             for task in lives:
                 task.cancel()
             await self.stop()
@@ -168,7 +187,9 @@
         until = asyncio.get_running_loop().time() + STARTED
         while asyncio.get_running_loop().time() < until and self.process.returncode is None:
             try:
-                return int(str(ask(self.socket, "status")["listen"]).rpartition(":")[2])
+                told = ask(self.socket, "status")
+                listen = told["amqp"]["listen"] if self.front == "amqp" else told["listen"]  # type: ignore[index]
+                return int(str(listen).rpartition(":")[2])
             except (OSError, ValueError):
                 await asyncio.sleep(0.02)
         raise RuntimeError("the sidecar did not start:\n" + (self.folder / "sidecar.log").read_text())
@@ -197,10 +218,10 @@
         await asyncio.gather(*workers)
 
     async def work(self, port: int, queue: asyncio.Queue[Message | None]) -> None:
-        client = Client(port, self.handed)
+        client = AmqpClient(port, self.handed) if self.front == "amqp" else Client(port, self.handed)
+        self.clients.append(client)
         while (message := await queue.get()) is not None:
             await client.hand_in(message)
-        client.close()
 
     async def settle(self) -> None:
         """Until every message has its end, which is at its deadline at the latest."""
@@ -243,7 +264,7 @@
         return {told["message"]: told["outcome"] for told in map(json.loads, rows)}
 
 
-def demo(count: int, say: Say) -> Report:
+def demo(count: int, say: Say, front: str = "resp", carrier: str = "http") -> Report:
     """Runs in a folder of its own, which it removes."""
     with tempfile.TemporaryDirectory(prefix="rainpier-demo-") as folder:
-        return asyncio.run(Demo(Path(folder), count, say).run())
+        return asyncio.run(Demo(Path(folder), count, say, front, carrier).run())
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 import logging
+import socket
 from collections.abc import Callable
 
 from ...amqp import connection as a
@@ -32,6 +33,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        # Guards against clients that want no heartbeat, and vanish.
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
     def data_received(self, data: bytes) -> None:
         if self.closing_since:
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -266,9 +266,10 @@
         if put.span > SPANS * self.s.classes[cls].deadline:
             return error(f"field d out of range: {put.span}")
         if put.id in self.names:
+            self.redirect(self.names[put.id].entry, put)
             return self.names[put.id].answer
         if self.store.knows(put.id, self.now):  # guards against taking on twice what came twice
-            self.redirect(put)
+            self.redirect(self.store.entries.get(self.store.state.numbers.get(put.id, 0)), put)
             return OK
         held = len(self.store.entries) + len(self.intake)
         if held >= self.s.max_open or not self.store.room(put.body):
@@ -299,9 +300,8 @@
 
     # --- ends for reply queues ---
 
-    def redirect(self, put: Put) -> None:
+    def redirect(self, entry: Entry | None, put: Put) -> None:
         """Who hands in again what is still held gets its end: the queue named before may be gone."""
-        entry = self.store.entries.get(self.store.state.numbers.get(put.id, 0))
         if put.reply_to and entry is not None and not entry.told:
             self.unowe(entry)
             entry.reply_to, entry.correlation = put.reply_to, put.correlation
--- a/tests/amqp/test_carrier.py
+++ b/tests/amqp/test_carrier.py
@@ -8,6 +8,7 @@
 from standins.broker import ScriptedBroker
 from standins.station import Station, text
 
+from rainpier.carriers.amqp.link import Link
 from rainpier.carriers.amqp.outcomes import TABLE, What
 from rainpier.interface import Condition, Outcome
 
@@ -323,3 +324,61 @@
                 }  # fmt: skip
 
     drive(story())
+
+
+def test_a_blocked_broker_that_is_a_route_of_its_own_stops_no_other(tmp_path):
+    async def story():
+        async with ScriptedBroker() as broker, ScriptedBroker() as other:
+            broker.block("low on memory")
+            written = text({"orders": [broker.dial, other.dial]}, kind="apart = true", deadline="8 s")
+            async with Station(tmp_path, written) as station:
+                for n in range(60):
+                    assert await station.resp(f"m{n}", "charge", 1)
+                await station.settled()
+                assert other.effects == {f"m{n}": 1 for n in range(60)} and not broker.published
+                assert not station.sink.told
+
+    drive(story())
+
+
+def test_a_publish_that_fails_in_the_midst_of_a_batch_leaves_the_earlier_ones_written(tmp_path, monkeypatch):
+    """What was written may have run, what was not did not: no charge is published twice."""
+
+    async def story():
+        publish, seen = Link.publish, []
+
+        def failing(self, lane, route, properties, body):
+            seen.append(properties.message_id)
+            if len(seen) == 3:
+                raise ValueError("can't be written")
+            return publish(self, lane, route, properties, body)
+
+        monkeypatch.setattr(Link, "publish", failing)
+        async with ScriptedBroker() as broker:
+            written = text({"orders": [broker.dial]}, kind="batch = 20", deadline="6 s")
+            async with Station(tmp_path, written) as station:
+                await asyncio.gather(*(station.resp(f"m{n}", "charge", 1) for n in range(8)))
+                await station.settled()
+                assert set(broker.effects.values()) == {1}
+                published = [name for _, name, *_ in broker.published]
+                assert len(published) == len(set(published))
+                assert set(broker.effects) | set(station.sink.ends) == {f"m{n}" for n in range(8)}
+
+    drive(story())
+
+
+def test_a_drained_broker_is_left_although_a_confirm_was_lost(tmp_path):
+    async def story():
+        async with ScriptedBroker(lambda m: "lose") as broker:
+            written = text({"orders": [broker.dial]}, deadline="1 s")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("m", "charge", 1, span=1000)
+                await until(lambda: broker.published)
+                host = station.list.listed[0]
+                drained = {f: getattr(host, f) for f in host.__slots__} | {"health": Condition.DRAINING}
+                station.list.set([type(host)(**drained)])
+                await station.settled()
+                assert station.sink.told == [("m", "given_up")]
+                await until(lambda: not broker.connections)
+
+    drive(story())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -62,8 +62,20 @@
     assert run("init", "x", "-o", "-").output.startswith("# Configuration of the rainpier sidecar for x.")
 
 
+def test_init_knows_amqp_on_both_sides(run, tmp_path):
+    words = ("init", "films", "--amqp", "127.0.0.1:5672", "--destination", "jobs=1@50/s,amqp:10.0.0.3:5672",
+             "--destination", "web=2@50/s,10.0.0.4:80")  # fmt: skip
+    assert run(*words).exit_code == 0
+    assert run("check", "films.toml").exit_code == 0
+    shown = run("show", "films.toml").output
+    assert 'listen = "127.0.0.1:5672"' in shown and 'protocol = "amqp"' in shown
+    assert shown.count('kind = "broker"') == 2 and shown.count('kind = "single"') == 2
+    mixed = run("init", "x", "--destination", "jobs=1@50/s,amqp:10.0.0.3:5672,10.0.0.4:80")
+    assert mixed.exit_code == 2 and "two destinations" in mixed.output
+
+
 @pytest.mark.parametrize("words", [
-    ("Shop",), ("a", "--class", "x:odd"), ("a", "--class", "x:safe:2"), ("a", "--destination", "x=y,1.1.1.1:1"),
+    ("Shop",), ("a", "--amqp", "5672"), ("a", "--class", "x:odd"), ("a", "--class", "x:safe:2"), ("a", "--destination", "x=y,1.1.1.1:1"),
     ("a", "--destination", "x=1,nohost:1"), ("a", "--listen", "6379"), ("a", "--body", "2"), ("a", "--sink", "x"),
 ])  # fmt: skip
 def test_init_refuses_what_it_can_not_write(run, tmp_path, words):
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -38,6 +38,31 @@
         assert receiver.stdout.readline() == "order-1 key token-1: render video 7\n"
 
 
+def test_the_amqp_pages_example_works_when_pasted(tmp_path, capsys):
+    text = (ROOT / "docs/operate/amqp.md").read_text()
+    first, second = re.findall(r"```sh\n(.*?)```", text, re.S)
+    (example,) = re.findall(r"```python\n(.*?)```", text, re.S)
+    receive, run = second.splitlines()
+    with contextlib.ExitStack() as stack:
+        receiver = started(stack, receive.replace("8080", "0"), tmp_path)
+        port = re.search(r":(\d+)", receiver.stdout.readline())[1]
+        written = first.replace("8080", port).replace("5672", "0").replace("6379", "0")
+        done = subprocess.run(["sh", "-ec", written], cwd=tmp_path, env=ENV, capture_output=True, text=True)
+        assert done.returncode == 0 and "0 mistakes" in done.stdout, done.stdout + done.stderr
+        sidecar = started(stack, run, tmp_path)
+        while not (found := re.search(r"AMQP on 127.0.0.1:(\d+)", line := sidecar.stderr.readline())):
+            assert line
+        exec(compile(example.replace("5672", found[1]), "amqp.md", "exec"), {})
+        assert capsys.readouterr().out == "7 delivered\n"
+        assert "order-1" in receiver.stdout.readline()
+
+
+def test_the_amqp_pages_broker_passes_the_check():
+    (settings,) = re.findall(r"```toml\n(.*?)```", (ROOT / "docs/operate/amqp.md").read_text(), re.S)
+    base = 'version = 1\n[sidecar]\nname = "a"\nstate = "s"\n[resp]\nlisten = "127.0.0.1:6379"\n[class.n]\neffect = "safe"\naim = "1 s"\ndeadline = "9 s"\n'
+    assert [str(p) for p in check_text(base + settings, "a.toml").problems] == []
+
+
 def started(stack, words, folder):
     process = subprocess.Popen(words.split(), cwd=folder, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
     stack.callback(process.wait)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -417,8 +417,9 @@
     drive(story())
 
 
-def test_the_demo_ends_with_its_line_and_0():
-    done = subprocess.run([sys.executable, "-B", "-m", "rainpier", "demo", "--messages", "300"], cwd=ROOT,
+@pytest.mark.parametrize("more", [(), ("--front", "amqp", "--carrier", "amqp")], ids=["RESP and HTTP", "AMQP"])
+def test_the_demo_ends_with_its_line_and_0(more):
+    done = subprocess.run([sys.executable, "-B", "-m", "rainpier", "demo", "--messages", "300", *more], cwd=ROOT,
                           env=os.environ, capture_output=True, text=True, check=False, timeout=120)  # fmt: skip
     assert done.returncode == 0, done.stdout + done.stderr
     words = done.stdout.splitlines()[-1].split()
