Know a returned publish by its tag, so that a lost confirm never hides a lost message

A message whose first publish had lost its confirm was published again and returned; the return was taken for the first publish, and the second one's ack for a delivery.

Change: each publish carries its tag in a header, which comes back with a return. A return without it, while two publishes of its message are out, proves nothing of either.

--- a/rainpier/carriers/amqp/link.py
+++ b/rainpier/carriers/amqp/link.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 B = commands.Basic
+TAG = "x-publish"  # header with the publish's tag on its channel, by which a return is known again
 BEAT = 0.25  # s between looks at the heartbeat, at most
 CLOSE = 1.0  # s for a close to be answered
 MOST_FRAME, MOST_CHANNELS, MOST_RETURN = 131_072, 1024, 1 << 20  # bytes, channels, bytes of a returned body
@@ -80,7 +81,8 @@
                 self.on_method(number, method)
             case Content(number, B.Return(), properties, _):
                 if (lane := self.lanes.get(number)) is not None:
-                    lane.returned(str(properties.message_id or ""))
+                    tag = (properties.headers or {}).get(TAG)
+                    lane.returned(str(properties.message_id or ""), tag if isinstance(tag, int) else None)
             case a.ChannelClosed(number, code, text, method):
                 self.lane_closed(number, code, text, method)
             case a.Blocked(reason):
@@ -239,6 +241,8 @@
     def publish(self, lane: Lane, route: str, properties: B.Properties, body: bytes) -> Publish:
         """Written at the next flush."""
         told = B.Publish(0, self.options.exchange, route, True)
+        # Guards against a return that is taken for another publish of the same message.
+        properties.headers = (properties.headers or {}) | {TAG: lane.last + 1}
         self.wire.publish(lane.id, told, properties, body)
         return lane.publish(str(properties.message_id))
 
--- a/rainpier/carriers/amqp/outcomes.py
+++ b/rainpier/carriers/amqp/outcomes.py
@@ -71,6 +71,7 @@
     message: str  # its id
     what: What | None = None  # what became of it
     returned: bool = False
+    doubtful: bool = False  # it, or another one of its message, was returned
     given_up: bool = False  # nobody waits for it any more, while its confirm may still come
     settled: Callable[[What], None] | None = None  # called once, when it is known what became of it
 
@@ -119,16 +120,26 @@
     def judged(self, publish: Publish, acked: bool) -> What:
         if publish.returned:
             return What.RETURNED
+        if publish.doubtful:
+            return What.NACKED
         if acked:
             return What.ACKED
         return What.NACKED_UNSEEN if self.nack_never_ran else What.NACKED
 
-    def returned(self, message: str) -> None:
-        """A return comes before its confirm; of two publishes of one message the older one's comes first."""
-        for publish in self.out.values():
-            if publish.message == message and not publish.returned:
+    def returned(self, message: str, tag: int | None) -> None:
+        """A publish came back; `tag`: what its own header says, None where the broker did not keep it.
+
+        By the message alone two of its publishes can't be told apart, one of which may have lost its confirm:
+        then neither proves anything.
+        """
+        if tag is not None:
+            publish = self.out.get(tag)
+            if publish is not None and publish.message == message:
                 publish.returned = True
-                return
+            return
+        same = [publish for publish in self.out.values() if publish.message == message]
+        for publish in same:
+            publish.returned, publish.doubtful = len(same) == 1, len(same) > 1
 
     def closed(self, code: int, method: tuple[int, int]) -> list[Publish]:
         """The channel is closed: which publish a close code means is certain only where it was alone."""
