Load AMQP only where it is configured

Need: a sender without brokers took 2 MB more and started later by what pamqp and the carrier cost.

Change: what a connection is run with stands apart from its machine; the node loads the carrier once a destination has a broker.

--- a/rainpier/amqp/connection.py
+++ b/rainpier/amqp/connection.py
@@ -16,6 +16,7 @@
 from . import frames as f
 from .channel import Channel, Content, Properties, State
 from .codes import ChannelRefusal, ConnectionRefusal
+from .options import Limits, Login
 
 C, CH, B = commands.Connection, commands.Channel, commands.Basic
 CONTENT = {"server": (B.Publish,), "client": (B.Return, B.Deliver, B.GetOk)}
@@ -45,17 +46,6 @@
     CLOSED = "closed"
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
-    """What one peer can make us hold."""
-
-    frame: int = 131_072  # bytes of a frame
-    channels: int = 64
-    body: int = 65_536  # bytes of a content
-    partial: int = 1 << 20  # bytes of contents that are not whole, over all channels
-    heartbeat: int = 30  # s; what is offered, or asked for
-
-
 # --- events ---
 
 
@@ -106,15 +96,6 @@
 Event = Opened | ChannelOpened | ChannelClosed | Method | Content | Blocked | Unblocked | Closed
 
 
-@dataclass(slots=True, frozen=True)
-class Login:
-    """What a client gives at its start."""
-
-    user: str = "guest"
-    password: str = "guest"  # noqa: S105
-    vhost: str = "/"
-
-
 class Connection:
     """What both sides share; see Server and Client."""
 
--- a/rainpier/carriers/amqp/options.py
+++ b/rainpier/carriers/amqp/options.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ...amqp.connection import Login
+from ...amqp.options import Login
 from ...store.entry import Entry
 
 
--- a/rainpier/config/place.py
+++ b/rainpier/config/place.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from .. import interface as i
-from ..amqp.connection import Limits, Login
+from ..amqp.options import Limits, Login
 from ..carriers.amqp.options import BrokerOptions
 from ..fronts.amqp.options import Options
 from . import model as m
--- a/rainpier/fronts/amqp/options.py
+++ b/rainpier/fronts/amqp/options.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ...amqp.connection import Limits
+from ...amqp.options import Limits
 
 
 @dataclass(slots=True, frozen=True)
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -10,8 +10,7 @@
 from dataclasses import dataclass, replace
 
 from .. import interface as i
-from ..carriers.amqp.brokers import Brokers
-from ..carriers.http.receivers import Call, Ending, Receivers, batches
+from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
 from ..config.place import Config
 from ..config.platform import ConfigError, address
 from ..fronts.resp.requests import Put, error
@@ -37,6 +36,15 @@
 OK = b"+OK\r\n"
 
 
+def brokers(settings: i.Settings, config: Config) -> Carriers | None:
+    """What carries calls to brokers; loaded only where there are some, since a start should be short."""
+    if not config.brokers:
+        return None
+    from ..carriers.amqp.brokers import Brokers
+
+    return Brokers(settings, config.brokers)
+
+
 @dataclass(slots=True, eq=False)
 class Intake:
     """A message handed in, until the round that takes it on or refuses it."""
@@ -61,7 +69,7 @@
         known = self.store.state  # by an earlier process
         self.remembered = (dict(known.waits), dict(known.outages))
         self.receivers = Receivers(self.s, self.may_write, self.on_ended, config.for_calls)
-        self.receivers.brokers = Brokers(self.s, config.brokers)
+        self.receivers.brokers = brokers(self.s, config)
         self.receivers.early = self.on_early
         self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
         self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
@@ -337,7 +345,7 @@
         """
         bound = self.stricter(config.settings.classes)
         self.config, self.s = config, replace(self.s, classes=config.settings.classes)
-        self.receivers.brokers = Brokers(self.s, config.brokers)
+        self.receivers.brokers = brokers(self.s, config)
         self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
         for cls, entries in bound:
             self.store.bind(entries, int(cls.effect), cls.group, cls.repeat_window)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -75,6 +75,12 @@
     assert [str(p) for p in check_text(path.read_text(), path.name).problems] == []
 
 
+def test_a_sender_without_brokers_loads_nothing_of_amqp():
+    """Its start should be short: it is started anew whenever it was killed."""
+    words = "import sys, rainpier.__main__, rainpier.node.node; sys.exit('pamqp' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", words], cwd=ROOT, env=ENV).returncode == 0
+
+
 def test_policy_fits():
     lines = (ROOT / "rainpier/policy.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 1200
