Handle each AMQP event before the next frame is read, so that no confirm goes astray

Need: the soak still counted messages told delivered that never were. Where two channels closed in one read, the handler of the first opened a channel with the number of the second, whose end it had not heard of; publishes on the old one then took the new one's confirms for theirs.

Change: `feed` hands each event to its handler before it looks at the next frame, on both sides and in the stand-ins.

--- a/rainpier/amqp/connection.py
+++ b/rainpier/amqp/connection.py
@@ -113,30 +113,40 @@
     # --- bytes ---
 
     def receive(self, data: bytes, now: float) -> list[Event]:
-        """What came, as events, in order."""
-        self.heard = now
+        """What came, as events, in order: for who only looks at them. Who answers them uses `feed`."""
         events: list[Event] = []
+        self.feed(data, now, events.append)
+        return events
+
+    def feed(self, data: bytes, now: float, handle: Callable[[Event], None]) -> None:
+        """What came; each event is handled before the next frame is looked at.
+
+        Guards against answers to what is over by then: with two channels closed in one read, the first one's
+        handler would open a channel with the number of the second, whose end it has not heard of.
+        """
+        self.heard = now
         if self.phase is Phase.CLOSED:
-            return events
+            return
         self.incoming += data
         try:
-            if self.phase is Phase.HEADER and not self.greeted(events):
-                return events
+            if self.phase is Phase.HEADER and not self.greeted(handle):
+                return
             for kind, channel, payload in f.split(self.incoming, self.frame_most()):
-                events += self.on_frame(kind, channel, payload)
+                for event in self.on_frame(kind, channel, payload):
+                    handle(event)
                 if self.phase is Phase.CLOSED:
                     break
         except ConnectionRefusal as refusal:
-            events += self.refuse(refusal)
+            for event in self.refuse(refusal):
+                handle(event)
         if self.phase is Phase.CLOSED:
             self.incoming.clear()
-        return events
 
     def frame_most(self) -> int:
         """Before the tuning, frames of the least size only: guards against what a stranger announces."""
         return max(self.frame_max, f.LEAST_MAX) if self.phase is Phase.RUNNING else self.limits.frame
 
-    def greeted(self, events: list[Event]) -> bool:
+    def greeted(self, handle: Callable[[Event], None]) -> bool:
         raise NotImplementedError
 
     def take(self, now: float | None = None) -> bytes:
@@ -368,13 +378,13 @@
         self.login, self.vhost = login, vhost
         self.user = ""
 
-    def greeted(self, events: list[Event]) -> bool:
+    def greeted(self, handle: Callable[[Event], None]) -> bool:
         """The protocol header; another one is answered with ours and the end (specification, 2.2.4)."""
         got = bytes(self.incoming[:8])
         if not f.PROTOCOL.startswith(got):
             self.out += f.PROTOCOL
             self.end()
-            events.append(Closed(codes.FRAME_ERROR, "another protocol or version", True))
+            handle(Closed(codes.FRAME_ERROR, "another protocol or version", True))
             return False
         if len(got) < 8:
             return False
@@ -429,11 +439,11 @@
         self.login = login
         self.out += f.PROTOCOL
 
-    def greeted(self, events: list[Event]) -> bool:
+    def greeted(self, handle: Callable[[Event], None]) -> bool:
         """A server of another version answers with its own header."""
         if self.incoming.startswith(b"AMQP"):
             self.end()
-            events.append(Closed(codes.FRAME_ERROR, "the server speaks another version", True))
+            handle(Closed(codes.FRAME_ERROR, "the server speaks another version", True))
             return False
         self.phase = Phase.START
         return True
--- a/rainpier/carriers/amqp/link.py
+++ b/rainpier/carriers/amqp/link.py
@@ -52,8 +52,7 @@
         self.flush()
 
     def data_received(self, data: bytes) -> None:
-        for event in self.wire.receive(data, self.loop.time()):
-            self.handle(event)
+        self.wire.feed(data, self.loop.time(), self.handle)
         self.flush()
         self.wake()
 
--- a/rainpier/demo/broker.py
+++ b/rainpier/demo/broker.py
@@ -40,8 +40,7 @@
         self.broker.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
-        for event in self.wire.receive(data, self.loop.time()):
-            self.handle(event)
+        self.wire.feed(data, self.loop.time(), self.handle)
         self.flush()
 
     def flush(self) -> None:
--- a/rainpier/demo/publisher.py
+++ b/rainpier/demo/publisher.py
@@ -53,8 +53,7 @@
         self.flush()
 
     def data_received(self, data: bytes) -> None:
-        for event in self.wire.receive(data, self.loop.time()):
-            self.handle(event)
+        self.wire.feed(data, self.loop.time(), self.handle)
         self.flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -39,8 +39,7 @@
     def data_received(self, data: bytes) -> None:
         if self.closing_since:
             return  # what comes after the close is read and dropped, so that the close is not lost to a reset
-        for event in self.wire.receive(data, self.loop.time()):
-            self.session.handle(event)
+        self.wire.feed(data, self.loop.time(), self.session.handle)
         self.flush()
 
     def eof_received(self) -> bool:
--- a/tests/amqp/test_carrier.py
+++ b/tests/amqp/test_carrier.py
@@ -395,3 +395,29 @@
         assert found == (1, "delivered", 3)
 
     drive(story())
+
+
+def test_channels_that_close_in_one_read_leave_no_confirm_to_another(tmp_path):
+    """Two at once, the later one first: what is acked afterwards is what the broker acked."""
+
+    async def story():
+        told = {"h0": "hold", "h1": "hold", "m3": "drop"}
+        async with ScriptedBroker(lambda m: told.get(m, "ack")) as broker:
+            written = text({"orders": [broker.dial]}, kind="channels = 2", deadline="2 s")
+            async with Station(tmp_path, written) as station:
+                for name in ("h0", "h1"):
+                    assert await station.resp(name, "charge", 1, span=2000)
+                await until(lambda: len(broker.held) == 2)
+                assert sorted(channel for _, channel, _ in broker.held) == [1, 2]
+                (connection,) = broker.connections
+                for channel in (2, 1):
+                    connection.wire.close_channel(channel, 541, "internal", (60, 40))
+                connection.flush()
+                await until(lambda: len(station.sink.told) == 2)
+                for n in range(12):
+                    assert await station.resp(f"m{n}", "charge", 1, span=2000)
+                await station.settled()
+                assert station.sink.ends == {"h0": "given_up", "h1": "given_up", "m3": "given_up"}
+                assert len(broker.published) == 14 and len(connection.wire.channels) == 2
+
+    drive(story())
