--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -59,7 +59,7 @@
 
 def test_the_amqp_pages_broker_passes_the_check():
     (settings,) = re.findall(r"```toml\n(.*?)```", (ROOT / "docs/operate/amqp.md").read_text(), re.S)
-    base = 'version = 1\n[sidecar]\nname = "a"\nstate = "s"\n[resp]\nlisten = "127.0.0.1:6379"\n[class.n]\neffect = "safe"\naim = "1 s"\ndeadline = "9 s"\n'
+    base = 'version = 1\n[sidecar]\nname = "a"\nstate = "/var/lib/a"\n[resp]\nlisten = "127.0.0.1:6379"\n[class.n]\neffect = "safe"\naim = "1 s"\ndeadline = "9 s"\n'
     assert [str(p) for p in check_text(base + settings, "a.toml").problems] == []
 
 
