--- a/tests/amqp/test_carrier.py
+++ b/tests/amqp/test_carrier.py
@@ -447,3 +447,19 @@
                 assert first.effects == {"a": 1} and second.effects == {"b": 1, "c": 1}
 
     drive(story())
+
+
+def test_a_lost_confirm_holds_up_none_of_its_batch(tmp_path):
+    async def story():
+        async with ScriptedBroker(lambda m: "drop" if m == "m7" else "ack") as broker:
+            written = text({"orders": [broker.dial]}, kind="batch = 20", deadline="4 s")
+            async with Station(tmp_path, written) as station:
+                assert await station.resp("first", "charge", 1, span=4000)
+                await station.settled()
+                await asyncio.gather(*(station.resp(f"m{n}", "charge", 1, span=4000) for n in range(8)))
+                entries, out = station.node.store.entries, station.node.out
+                await until(lambda: [entry.id for entry in entries.values()] == ["m7"] and out)
+                (call,) = out.values()
+                assert call.open and len(call.entries) > 1  # the others travelled with it, and are over
+
+    drive(story())
