--- a/rainpier/amqp/frames.py
+++ b/rainpier/amqp/frames.py
@@ -63,15 +63,7 @@
     method = known()
     try:
         method.unmarshal(payload[4:])
-    except (
-        ValueError,
-        IndexError,
-        KeyError,
-        TypeError,
-        struct.error,
-        RecursionError,
-        OverflowError,
-    ) as error:
+    except UNREADABLE as error:
         raise ConnectionRefusal(
             codes.SYNTAX_ERROR, f"unreadable arguments of {method.name}", number(method)
         ) from error
@@ -83,15 +75,7 @@
     head = header.ContentHeader()
     try:
         head.unmarshal(payload)
-    except (
-        ValueError,
-        IndexError,
-        KeyError,
-        TypeError,
-        struct.error,
-        RecursionError,
-        OverflowError,
-    ) as error:
+    except UNREADABLE as error:
         raise ConnectionRefusal(codes.SYNTAX_ERROR, "unreadable content header") from error
     return head
 
