Count each message for its own tenant on sockets, and keep the tenant in the store

Change: parse_put reads t, the node passes its number on, and says so where the settings do not know it; a message that names none counts against no share. The store keeps the tenant, so that a restart does not forget whose message it was: format 3, 1 byte and the name where there is one, nothing where there is none.

--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -30,6 +30,7 @@
     body: bytes
     repeated: bool
     inherited: bool
+    tenant: str = ""  # who it counts for, where the settings name tenants
     reply_to: str = ""  # the queue that its end goes to, and what it is known by there
     correlation: str = ""
 
@@ -84,11 +85,12 @@
         if needed not in fields:
             raise BadRequest(f"missing field {needed.decode()}")
     token = match(NAME, fields[b"k"], "field k") if b"k" in fields else ""
+    tenant = match(NAME, fields[b"t"], "field t") if b"t" in fields else ""
     repeated, inherited = (match(FLAG, fields.get(f, b"0"), f"field {f.decode()}") for f in (b"r", b"again"))
     return Put(
         match(NAME, name, "id"), match(NAME, fields[b"c"], "field c"),
         number(fields, b"dest", 0, MAX_DESTINATION), int(match(KEY, key, "key"), 16), token,
-        number(fields, b"d", 1, MAX_SPAN), body, repeated == "1", inherited == "1",
+        number(fields, b"d", 1, MAX_SPAN), body, repeated == "1", inherited == "1", tenant,
     )  # fmt: skip
 
 
--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -137,6 +137,8 @@
 
 # --- events ---
 
+NO_TENANT = -1  # whose messages count against no quota
+
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
@@ -145,7 +147,7 @@
     destination: int
     deadline: float
     key: int = 0
-    tenant: int = 0
+    tenant: int = 0  # its place in the settings' list, or NO_TENANT
     repeated: bool = False
     inherited: bool = False
 
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -63,6 +63,7 @@
         self.epoch = time.time() * 1000 - self.loop.time() * 1000  # one clock for all processes
         self.sender = Sender(self.s, config.seed)
         self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
+        self.tenants = {tenant.name: number for number, tenant in enumerate(self.s.tenants)}
         self.kinds = {kind.name: number for number, kind in enumerate(self.s.kinds)}
         self.store = Store(Folder(config.state), config.disk, self.now, config.machine)
         self.commit = Commit(self.store)
@@ -127,7 +128,8 @@
         interrupted = entry.begun > 0
         if interrupted:  # begun and without an outcome: as if its connection had been reset
             self.store.results([(entry, i.Outcome.RESET)])
-        arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key)
+        tenant = self.tenants.get(entry.tenant, i.NO_TENANT)
+        arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key, tenant)
         risky_at = entry.risky_at or math.inf
         self.push(
             i.Resumed(
@@ -266,6 +268,8 @@
         """A client hands in a message."""
         if put.cls not in self.classes:
             return error(f"unknown class {put.cls}")
+        if put.tenant and self.tenants and put.tenant not in self.tenants:
+            return error(f"unknown tenant {put.tenant}")
         if put.destination not in self.destinations:
             return error(f"unknown destination {put.destination}")
         if len(put.body) > self.config.largest_body:
@@ -289,11 +293,12 @@
         effect = self.s.classes[cls]
         entry.effect, entry.group, entry.window = int(effect.effect), effect.group, effect.repeat_window
         entry.reply_to, entry.correlation = put.reply_to, put.correlation
+        entry.tenant, tenant = put.tenant, self.tenants.get(put.tenant, i.NO_TENANT)
         if put.reply_to:
             self.owed[put.reply_to] += 1
         handed = self.intake[number] = self.names[put.id] = Intake(entry, self.loop.create_future())
         self.push(
-            i.Arrival(number, cls, put.destination, deadline, key, 0, put.repeated, put.inherited),
+            i.Arrival(number, cls, put.destination, deadline, key, tenant, put.repeated, put.inherited),
         )
         return handed.answer
 
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -390,7 +390,8 @@
 
     def share(self, tenant: int) -> float:
         """What a tenant's next message is worth, as a share: full within its quota, little beyond."""
-        rate = self.s.tenants[tenant].quota_per_s / min(self.s.senders, FLEET) if self.s.tenants else 0.0
+        known = 0 <= tenant < len(self.s.tenants)
+        rate = self.s.tenants[tenant].quota_per_s / min(self.s.senders, FLEET) if known else 0.0
         if rate <= 0:
             return 1.0
         owed = max(0.0, self.quota[tenant][0] - rate * (self.now - self.quota[tenant][1]) / 1000)
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -29,6 +29,7 @@
     window: float = 0.0
     reply_to: str = ""  # the reply queue that the end goes to, and what it is known by there
     correlation: str = ""
+    tenant: str = ""  # who it counts for
     told: bool = False  # ... and it has gone there
 
     def settle(self, outcome: Outcome) -> None:
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -21,8 +21,8 @@
 
 from .entry import Entry
 
-MAGIC, VERSION = b"RPSTORE\n", 2
-READS = (1, 2)  # 2: messages may name a reply queue
+MAGIC, VERSION = b"RPSTORE\n", 3
+READS = (1, 2, 3)  # 2: messages may name a reply queue; 3: and a tenant
 HEAD, FRAME = struct.Struct("<8sHHIQI"), struct.Struct("<III")
 CRC, REST = struct.Struct("<I"), struct.Struct("<II")
 HEAD_SIZE = HEAD.size + CRC.size
@@ -36,7 +36,7 @@
     struct.Struct("<HBBd"),
 )
 START, UPGRADED, BIND = struct.Struct("<Qd"), struct.Struct("<QI"), struct.Struct("<H")
-HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY = 1, 2, 4, 8, 16  # flags of a message
+HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT = 1, 2, 4, 8, 16, 32  # flags of a message
 ENDS = ("", "given_up", "handed_back")
 GROUPS = ("all", "zone")
 
@@ -198,6 +198,10 @@
     ident = e.id.encode() if ident is None else ident
     token = e.token.encode() if token is None else token
     parts = [ident, token, e.body]
+    if e.tenant:
+        flags |= TENANT
+        tenant = e.tenant.encode()
+        parts.insert(0, bytes((len(tenant),)) + tenant)
     if e.reply_to:
         flags |= REPLY
         reply_to, correlation = e.reply_to.encode(), e.correlation.encode()
@@ -230,6 +234,10 @@
         reply_to = data[at + 2 : at + 2 + first].decode()
         correlation = data[at + 2 + first : at + 2 + first + second].decode()
         at += 2 + first + second
+    tenant = ""
+    if flags & TENANT:
+        tenant = data[at + 1 : at + 1 + data[at]].decode()
+        at += 1 + data[at]
     ident, token = data[at : at + ident_size], data[at + ident_size : at + ident_size + token_size]
     body = data[at + ident_size + token_size :]
     if cls not in classes:
@@ -238,7 +246,7 @@
     entry = Entry(
         number, ident.hex() if flags & HEX_ID else ident.decode(), name, destination, key,
         token.hex() if flags & HEX_TOKEN else token.decode(), deadline, body,
-        effect=effect, group=group, window=window, reply_to=reply_to, correlation=correlation,
+        effect=effect, group=group, window=window, reply_to=reply_to, correlation=correlation, tenant=tenant,
     )  # fmt: skip
     if progress:
         (entry.attempts, entry.begun, entry.begun_zone, entry.risky_at, entry.risky_zone, end,
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -62,6 +62,16 @@
     assert not back.knows("a", 9.1e12)
 
 
+def test_the_tenant_of_a_message_comes_back_and_takes_no_room_where_there_is_none():
+    store = opened()
+    with_one, without = entry(store, "a", tenant="north"), entry(store, "b")
+    assert store.take(with_one) and store.take(without)
+    back = again(store)
+    assert [e.tenant for e in back.entries.values()] == ["north", ""]
+    plain = r.write_message(without, 1)
+    assert len(r.write_message(with_one, 1)) == len(plain) + 1 + len("north")
+
+
 def test_an_attempt_that_surely_never_ran_leaves_no_mark():
     store = opened()
     store.take(one := entry(store, "a"))
@@ -257,11 +267,11 @@
     image = closed()
     name = max(n for n in image if n.endswith(".seg"))
     data = bytearray(image[name])
-    data[8] = 3
+    data[8] = r.VERSION + 1
     data[28:32] = zlib.crc32(bytes(data[:28])).to_bytes(4, "little")
     disk = Disk(image | {name: bytes(data)})
     before = disk.image()
-    with pytest.raises(StoreError, match="format version 3"):
+    with pytest.raises(StoreError, match=f"format version {r.VERSION + 1}"):
         opened(disk)
     assert disk.image() == before
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -58,6 +58,30 @@
     drive(story())
 
 
+def test_a_message_counts_for_its_own_tenant_also_after_a_restart(tmp_path):
+    """Where members share a platform, the flood of one of them must not cost the others their worth."""
+    tenants = {"tenants": [{"name": "north", "quota-per-s": 100.0}, {"name": "south", "quota-per-s": 0.1}],
+               "over-share-worth": 0.1}  # fmt: skip
+
+    def worths(node):
+        return {node.store.entries[n].id: m.worth for n, m in node.sender.live.items()}
+
+    async def story():
+        async with Agent([host("r1", "127.0.0.1:1")]) as agent:
+            async with sender(tmp_path, agent, **tenants) as node, Client(node.port) as client:
+                assert "unknown tenant east" in await client.ask(put("z", more=",t=east"))
+                for name, tenant in (("s1", "south"), ("s2", "south"), ("n1", "north"), ("n2", "north")):
+                    assert await client.ask(put(name, more=f",t={tenant}")) == "OK"
+                assert await client.ask(put("no tenant")) == "-ERR unreadable id: 'no tenant'"
+                assert await client.ask(put("none")) == "OK"
+                assert worths(node) == {"s1": 1.0, "s2": 0.1, "n1": 1.0, "n2": 1.0, "none": 1.0}
+            async with sender(tmp_path, agent, **tenants) as node:
+                await until(lambda: len(node.sender.live) == 5)
+                assert worths(node) == {"s1": 1.0, "s2": 0.1, "n1": 1.0, "n2": 1.0, "none": 1.0}
+
+    drive(story())
+
+
 def test_what_the_round_refuses_is_answered_busy_with_the_time_to_come_back(tmp_path):
     async def story():
         async with Agent([host("r1", "127.0.0.1:1")]) as agent:
