Keep a message's cost in the policy the same however much is held or known

Need: Sender.handle looked at every held message of a destination for each send, at every destination in each round, at every call for the oldest and at every endpoint each second: 36,500 us for a delivered message with 10,000 held for one destination, 65 ms with 10,000 idle destinations.

Idle destinations keep what is listed only, and get routes when something is sent there.

--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -30,9 +30,9 @@
     body: bytes
     repeated: bool
     inherited: bool
-    tenant: str = ""  # who it counts for, where the settings name tenants
     reply_to: str = ""  # the queue that its end goes to, and what it is known by there
     correlation: str = ""
+    tenant: str = ""  # who it counts for, where the settings name tenants
 
 
 class BadRequest(Exception):
@@ -90,7 +90,7 @@
     return Put(
         match(NAME, name, "id"), match(NAME, fields[b"c"], "field c"),
         number(fields, b"dest", 0, MAX_DESTINATION), int(match(KEY, key, "key"), 16), token,
-        number(fields, b"d", 1, MAX_SPAN), body, repeated == "1", inherited == "1", tenant,
+        number(fields, b"d", 1, MAX_SPAN), body, repeated == "1", inherited == "1", tenant=tenant,
     )  # fmt: skip
 
 
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -3,15 +3,18 @@
 import heapq
 import math
 import random
+from collections import deque
 from dataclasses import replace
 
 from . import interface as i
-from .interface import Effect, Outcome
+from .backlog import BASE, Backlog, Least, Message
+from .interface import Outcome
+from .structures.kinetic import NEAR as EQUAL
+from .structures.kinetic import Kinetic, Line
+from .structures.schedule import Schedule
 
-BASE = 100.0  # ms; first previous wait of the decorrelated jitter (design page)
 CAP = 5000.0  # ms; longest wait of the decorrelated jitter (design page)
 ANSWER_MARGIN = 30.0  # ms before a deadline at which a held message is answered: some rounds to spare
-KEY_MARGIN = 250.0  # ms before a key is forgotten after which it is not sent again: a call's way there
 NEAR = 2.0  # times the best recent latency: up to there the window widens, above it narrows
 GAIN = 0.15  # weight of a new call in a running mean: some seven calls, so one odd call does not count
 BEST_AGEING = 0.01  # a call: an old best latency doubles, so is forgotten, in some seventy calls
@@ -29,7 +32,9 @@
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
 ALIVE = 1000.0  # ms after a success in which failures make no outage: a real one lets nothing through
 SHUN = 1000.0  # ms for each failure in a row, up to the cap, for which an endpoint comes after its siblings
+SICK_MOST = 0.5  # of the slots may all destinations that are down hold together
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
+EARLY = 0.001  # ms: guards against a moment missed by rounding
 RAMP_MARGIN = 0.9  # of what the rule on returning destinations would allow this sender by its own rate
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
 STALE = 0.4  # share of a kind's calls reset on kept connections, above which idle connections are not trusted
@@ -38,30 +43,16 @@
 STOP_CALLS = 3.0  # usual calls that must fit before the process ends: most calls take less
 EVICT_BACK = 1000.0  # ms after which one that was evicted may come again: a full store empties over seconds
 FORGET = 1000.0  # ms between looks for endpoints that are gone for good
+MASK = (1 << 64) - 1
+RANKED = 250.0  # ms after which the worth of a call of several messages is looked at anew
+SLICE = 64  # endpoints, or idle destinations, that are looked at in one round
 EVICT_AT = 0.95  # of the messages that may be held: the least worth is refused from there on
 
 
-class Message:
-    """A message held, from arrival to final answer."""
-
-    def __init__(self, event: i.Arrival, cls: i.MessageClass, worth: float) -> None:
-        self.id, self.dest, self.due = event.message, event.destination, event.deadline
-        self.cls, self.worth, self.key = cls, worth, event.key if cls.in_order else 0
-        self.number = event.cls  # of its class; cls itself may be stricter: see on_classes
-        self.aim_at = event.deadline - cls.deadline + cls.aim
-        self.wait, self.not_before, self.attempts, self.out = BASE, 0.0, 0, False
-        self.risky_at, self.risky_zone = math.inf, 0  # sending of the first attempt that may have run
-
-    def value(self, now: float, halves: bool) -> float:
-        """What delivery now would earn."""
-        late, floor = max(0.0, now - self.aim_at), self.cls.late_worth
-        if halves:
-            return self.worth * max(floor, 0.5 ** (late / max(self.cls.aim, 1.0)))
-        return self.worth * (1 - (1 - floor) * min(1.0, late / max(self.due - self.aim_at, 1.0)))
-
-
 class Endpoint:
-    def __init__(self, info: i.Listed, route: "Route", order: float) -> None:
+    __slots__ = ("fails", "flight", "fulls", "info", "order", "route", "shun_until", "warm")
+
+    def __init__(self, info: i.Listed, route: "Route", order: int) -> None:
         self.info, self.route, self.flight, self.fails = info, route, 0, 0  # fails: in a row
         self.order = order  # by chance, so that senders do not all take the same one of equals
         self.warm = -math.inf  # when a connection was last used
@@ -87,17 +78,31 @@
         return 0 if due else bad, self.flight, not (due and bad)
 
 
+    def clean(self, now: float, keep_alive: float) -> bool:
+        """Nothing is known of it that a new one would not be taken to be."""
+        known = self.flight or self.fails or self.fulls
+        return not known and now > max(self.shun_until, self.warm + keep_alive)
+
+
 class Call:
     """One attempt each of the messages that travel in it."""
 
-    def __init__(self, endpoint: Endpoint, sent: float, size: int) -> None:
-        self.endpoint, self.sent, self.size, self.left = endpoint, sent, size, size
-        self.overdue_at = math.inf
+    __slots__ = ("endpoint", "left", "number", "parts", "sent", "size")
+
+    def __init__(self, number: int, endpoint: Endpoint, sent: float, size: int) -> None:
+        self.number, self.endpoint, self.sent, self.size, self.left = number, endpoint, sent, size, size
+        self.parts: list[tuple[int, int]] = []  # message and attempt
 
 
 class Route:
     """What shares one limit, pace and outage: a destination, or one endpoint where routes are apart."""
 
+    __slots__ = (
+        "base", "best", "cold_at", "counted_at", "cut_at", "endpoints", "failing", "fails", "first_full",
+        "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace", "raised_at", "risk", "s",
+        "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at", "wait_until", "window",
+    )  # fmt: skip
+
     def __init__(self, settings: i.Settings) -> None:
         self.s, self.endpoints, self.flight, self.wait_until, self.used_at = settings, [], 0, 0.0, 0.0
         self.spread = max(1.0, math.sqrt(settings.senders / FLEET))  # not all of them hold a message for it
@@ -169,11 +174,30 @@
         if not self.down and not self.is_cold(now):
             return max(self.wait_until, self.next_at - BURST)
         gap = 0.0 if self.down and self.sparse else 1000 / self.ramp(now)
-        return max(self.wait_until, self.next_at, self.trial_at if self.down else 0.0, self.used_at + gap)
+        held = max(self.wait_until, self.next_at, self.trial_at if self.down else 0.0)
+        at = max(held, self.used_at + gap)
+        if self.down or at <= now:
+            return at
+        # It is allowed more from moment to moment, and all when it is warm: when exactly, so that it need not
+        # be asked again in each round.
+        warm = max(self.wait_until, self.next_at - BURST, self.cold_at + self.s.cold)
+        return min(at, warm, max(held, self.ramped_at()))
+
+    def ramped_at(self) -> float:
+        """When the gap of the ramp since the last call has passed: gap and ramp meet."""
+        own = max(self.base, self.vouched) * self.s.overload_factor * RAMP_MARGIN / 1000
+        least = self.floor / self.spread if self.listed else self.floor
+        used = self.used_at - self.cold_at
+        rise, begin = own * (1 - self.s.cold_from) / self.s.cold, own * self.s.cold_from
+        # (x - used) * (begin + rise * x) = 1, x: time since the last sign of the outage
+        half, rest = begin - rise * used, 1 + begin * used
+        if rise > 0:
+            since = (math.sqrt(half * half + 4 * rise * rest) - half) / (2 * rise)
+        else:
+            since = used + 1 / begin if begin > 0 else math.inf
+        return min(self.cold_at + since, self.used_at + 1000 / least) - EARLY
 
     def on_send(self, now: float) -> None:
-        if self.quiet(now):
-            self.reset()
         self.count(now, 1)
         self.flight, self.used_at = self.flight + 1, now
         self.next_at = max(self.next_at, now) + 1000 / self.limit
@@ -243,24 +267,57 @@
         self.window = max(1.0, min(self.window - 1, self.s.slots / 2))
 
 
+def scatter(seed: int, number: int) -> int:
+    """A number's place in an order of this sender's own, by chance: SplitMix64 (Steele, Lea, Flood, 2014)."""
+    x = (seed + (number + 1) * 0x9E3779B97F4A7C15) & MASK
+    x = ((x ^ x >> 30) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ x >> 27) * 0x94D049BB133111EB) & MASK
+    return x ^ x >> 31
+
+
 class Sender:
-    """One sender. Feed it each round's events; carry out the actions it returns, in order."""
+    """One sender. Feed it each round's events; carry out the actions it returns, in order.
+
+    A round looks only at the destinations that something happened to, or whose time has come (`touched`,
+    `timers`), and at those that wait for a slot by what they are worth (`waiting`).
+    """
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.s, self.rng = settings, random.Random(seed)
+        self.s, self.rng, self.seed = settings, random.Random(seed), seed
         self.live: dict[int, Message] = {}  # all that is owed an answer
+        self.taken = 0  # messages so far: their order
         self.calls: dict[tuple[int, int], tuple[Call, int]] = {}  # with the key of an ordered message
-        self.endpoints: dict[int, Endpoint] = {}
-        self.routes: dict[int, list[Route]] = {}  # by destination
-        self.held: dict[int, dict[int, Message]] = {}  # by destination: not out
-        self.lines: dict[int, list[int]] = {}  # by key: messages in the order taken
+        self.sent, self.overdue = 0, Schedule[int]()  # calls so far; those that are out, by number
+        self.out: dict[int, Call] = {}
+        self.listed: dict[int, tuple[i.Listed, ...]] = {}  # idle destinations: what is listed, and no more
+        self.homes: dict[int, int] = {}  # by endpoint: its destination
+        self.endpoints: dict[int, Endpoint] = {}  # of destinations that are not idle
+        self.routes: dict[int, list[Route]] = {}  # by destination, the same
+        self.resting: Schedule[int] = Schedule()  # when to look whether a destination is idle again
+        self.leaving: dict[int, None] = {}  # endpoints that are gone and not forgotten yet
+        self.emptied: dict[int, None] = {}  # destinations with a route that has no endpoint left
+        self.to_forget: list[tuple[bool, int]] = []  # endpoints (True) and destinations, to look at in turn
+        self.held: dict[int, Backlog] = {}  # by destination: not out
+        self.lines: dict[int, deque[int]] = {}  # by key: messages in the order taken
+        self.in_line: set[int] = set()  # messages that their line still waits for
         self.rests: dict[int, float] = {}  # by key: no new turn before
+        self.rested: Schedule[int] = Schedule()
+        self.least: Least | None = None
+        self.alike: dict[i.MessageClass, i.MessageClass] = {}
         self.usual: list[float | None] = [None] * len(settings.classes)  # ms; mean of a call by class
         self.quota = [(0.0, 0.0)] * len(settings.tenants)
         kinds = [0.0] * len(settings.kinds)  # by kind: shares of recent calls; no idle connection until
         self.refusals, self.resets, self.fresh_resets = kinds[:], kinds[:], kinds[:]
         self.stale, self.worn = kinds[:], kinds[:]
-        self.free, self.deadlines = settings.slots, list[tuple[float, int]]()
+        self.free, self.sick = settings.slots, 0  # sick: slots held by routes that are down
+        self.most_sick = max(1, int(settings.slots * SICK_MOST))
+        self.deadlines: Schedule[int] = Schedule()  # messages
+        self.touched: dict[int, None] = {}  # destinations to look at in this round
+        self.timers: Schedule[int] = Schedule()  # when to look at a destination again
+        self.turns: Schedule[int] = Schedule()  # the same, but only while it waits for a slot
+        self.waiting: dict[int, Kinetic] = {}  # by class of the next call: destinations by worth
+        self.waits_as: dict[int, int] = {}  # by destination that waits: that class
+        self.barred: Schedule[int] = Schedule()  # destinations that are down, and may hold no slot for now
         self.now, self.wake, self.timer_at, self.acts = 0.0, math.inf, math.inf, []
         self.watching, self.ask_at, self.ask_wait = not settings.must_ask, 0.0, BASE
         self.stop_at, self.forget_at = math.inf, 0.0
@@ -280,110 +337,254 @@
             if type(event) in self.on:
                 self.on[type(event)](event)
         self.give_up()
-        if now >= self.forget_at:
-            self.forget()
+        self.forget()
+        self.rest()
         if not self.watching and now >= self.ask_at:
             self.watching = True
             self.acts.append(i.WatchList())
         self.wake = min(self.wake, math.inf if self.watching else self.ask_at)
         self.dispatch()
+        self.wake = min(self.wake, self.timers.first())
         if self.wake < self.timer_at:  # one timer is kept
             self.timer_at = max(self.wake, now + self.s.tick)
             self.acts.append(i.SetTimer(0, self.timer_at - now))
         return self.acts
 
+    # --- the list, and destinations that come and go ---
+
     def on_list(self, event: i.ListChange) -> None:
         if event.kind is i.ListKind.FAILED:
             self.watching, self.ask_wait = not self.s.must_ask, self.draw(self.ask_wait)
             self.ask_at = self.now + self.ask_wait
         elif event.kind is not i.ListKind.CACHED:
             self.ask_wait = BASE
-        entries = {entry.endpoint: entry for entry in event.entries}
         if event.kind in (i.ListKind.FULL, i.ListKind.CACHED):  # a whole list: what it lacks is gone
-            gone = i.Condition.GONE
-            entries = {key: replace(e.info, condition=gone) for key, e in self.endpoints.items()} | entries
-        for key, entry in entries.items():
-            if key in self.endpoints:  # one that is gone keeps its state: a wait or an outage still binds
-                self.endpoints[key].info = entry
-            elif entry.condition is not i.Condition.GONE:
-                routes = self.routes.setdefault(entry.destination, [])
-                if not routes or self.s.kinds[entry.kind].apart:
-                    routes.append(Route(self.s))
-                self.endpoints[key] = Endpoint(entry, routes[-1], self.rng.random())
-                routes[-1].endpoints.append(self.endpoints[key])
+            present = {entry.endpoint for entry in event.entries}
+            for key in [key for key in self.homes if key not in present]:
+                self.list_gone(key)
+        for entry in event.entries:
+            if entry.condition is i.Condition.GONE:
+                self.list_gone(entry.endpoint, entry)
+            else:
+                self.list_one(entry)
+
+    def list_one(self, entry: i.Listed) -> None:
+        key = entry.endpoint
+        self.leaving.pop(key, None)
+        if key in self.endpoints:
+            self.endpoints[key].info = entry
+        elif key not in self.homes and (entry.destination in self.routes or entry.destination in self.held):
+            self.rouse(entry.destination)
+            self.attach(entry)
+            self.resting.set(entry.destination, self.now + IDLE)
+        else:
+            home = self.homes.get(key, entry.destination)
+            self.listed[home] = (*(o for o in self.listed.get(home, ()) if o.endpoint != key), entry)
+        self.homes.setdefault(key, entry.destination)
+        self.touched[self.homes[key]] = None
+
+    def list_gone(self, key: int, entry: i.Listed | None = None) -> None:
+        if key not in self.homes:
+            return
+        home = self.homes[key]
+        if key in self.endpoints:  # it keeps its state: a wait or an outage still binds
+            info = entry or self.endpoints[key].info
+            self.endpoints[key].info = replace(info, condition=i.Condition.GONE)
+        elif rest := tuple(o for o in self.listed.get(home, ()) if o.endpoint != key):
+            self.listed[home] = rest
+        else:
+            self.listed.pop(home, None)
+        self.leaving[key] = None
+        self.touched[home] = None
+
+    def attach(self, info: i.Listed) -> None:
+        """An endpoint of a destination that is not idle, with the route that it belongs to."""
+        routes = self.routes.setdefault(info.destination, [])
+        if not routes or self.s.kinds[info.kind].apart:
+            routes.append(Route(self.s))
+        endpoint = Endpoint(info, routes[-1], scatter(self.seed, info.endpoint))
+        self.endpoints[info.endpoint] = endpoint
+        routes[-1].endpoints.append(endpoint)
+
+    def rouse(self, dest: int) -> None:
+        """An idle destination gets routes when something is to be done with it."""
+        if dest in self.listed:
+            for info in self.listed.pop(dest):
+                self.attach(info)
+            self.resting.set(dest, self.now + IDLE)
+
+    def rest(self) -> None:
+        """Of a destination that is idle again, with nothing known that binds, keep what is listed only."""
+        for dest in self.resting.due(self.now, SLICE):
+            if not self.pack(dest):
+                self.resting.set(dest, self.now + IDLE)
+
+    def pack(self, dest: int) -> bool:
+        routes = self.routes.get(dest, [])
+        endpoints = [e for route in routes for e in route.endpoints]
+        if dest in self.held or not all(route.quiet(self.now) and route.endpoints for route in routes):
+            return False
+        for e in endpoints:
+            if e.info.condition is i.Condition.GONE or not e.clean(self.now, self.s.keep_alive):
+                return False
+        for e in endpoints:
+            del self.endpoints[e.info.endpoint]
+        if endpoints:
+            self.listed[dest] = tuple(e.info for e in endpoints)
+        self.routes.pop(dest, None)
+        return True
 
     def forget(self) -> None:
         """Drop what is gone: one of a shared route at once, a route apart when nothing learnt there binds."""
-        self.forget_at = self.now + FORGET
-        for key, e in list(self.endpoints.items()):
-            if e.info.condition is not i.Condition.GONE or e.flight:
-                continue
-            if not self.s.kinds[e.info.kind].apart or e.route.over(self.now):
-                e.route.endpoints.remove(self.endpoints.pop(key))
-                self.acts.append(i.Forget(key))
-        for dest, routes in list(self.routes.items()):
-            self.routes[dest] = [r for r in routes if r.endpoints or not r.over(self.now)]
-            if not self.routes[dest] and not self.held.get(dest):
-                del self.routes[dest]
-                self.held.pop(dest, None)
+        if not self.to_forget and self.now >= self.forget_at:
+            self.forget_at = self.now + FORGET
+            gone = [(True, key) for key in self.leaving] + [(False, dest) for dest in self.emptied]
+            self.to_forget = gone[::-1]
+        for _ in range(min(SLICE, len(self.to_forget))):  # guards against rounds held up where many leave
+            endpoint, number = self.to_forget.pop()
+            if endpoint and number in self.leaving:
+                self.forget_endpoint(number)
+            elif not endpoint and number in self.emptied:
+                self.forget_routes(number)
+
+    def forget_endpoint(self, key: int) -> None:
+        if e := self.endpoints.get(key):
+            if e.flight or self.s.kinds[e.info.kind].apart and not e.route.over(self.now):
+                return
+            e.route.endpoints.remove(self.endpoints.pop(key))
+        del self.leaving[key]
+        dest = self.homes.pop(key)
+        self.acts.append(i.Forget(key))
+        if e and not e.route.endpoints:
+            self.emptied[dest] = None
+            self.forget_routes(dest)
+
+    def forget_routes(self, dest: int) -> None:
+        kept = [r for r in self.routes.get(dest, ()) if r.endpoints or not r.over(self.now)]
+        if all(r.endpoints for r in kept):
+            del self.emptied[dest]
+        if kept:
+            self.routes[dest] = kept
+        else:
+            self.routes.pop(dest, None)
+            self.resting.drop(dest)
+
+    # --- messages ---
 
     def on_arrival(self, event: i.Arrival) -> None:
         if event.message in self.live:
             return
-        self.hold(event)
+        self.keep(self.hold(event))
         if len(self.live) > max(1.0, EVICT_AT * self.s.max_open):  # guards against losing worthier ones
-            held = [m for m in self.live.values() if not m.out and m.risky_at == math.inf]
-            self.finish(min(held, key=lambda m: (m.value(self.now, self.s.late_halves), m.due)), EVICT_BACK)
+            if self.least is None:
+                self.least = Least()
+                for m in self.live.values():
+                    if not m.out and m.risky_at == math.inf:
+                        self.least.add(m)
+            self.finish(self.least.find(self.live, self.now, self.s.late_halves), EVICT_BACK)
+        elif self.least and len(self.live) < self.s.max_open / 2:
+            self.least = None
 
     def hold(self, event: i.Arrival) -> Message:
         cls = self.s.classes[event.cls]
-        message = self.live[event.message] = Message(event, cls, cls.worth * self.share(event.tenant))
-        self.held.setdefault(message.dest, {})[message.id] = message
+        self.taken += 1
+        worth = cls.worth * self.share(event.tenant)
+        message = self.live[event.message] = Message(event, cls, worth, self.taken)
         if message.key:
-            self.lines.setdefault(message.key, []).append(message.id)
-        heapq.heappush(self.deadlines, (message.due - ANSWER_MARGIN, message.id))
+            self.lines.setdefault(message.key, deque()).append(message.id)
+            self.in_line.add(message.id)
+        self.deadlines.set(message.id, message.due - ANSWER_MARGIN)
+        self.rouse(message.dest)
         return message
 
+    def keep(self, message: Message) -> None:
+        """It is held: not out."""
+        backlog = self.held.get(message.dest)
+        if backlog is None:
+            backlog = self.held[message.dest] = Backlog()
+        backlog.held[message.id] = message
+        if self.least and message.risky_at == math.inf:
+            self.least.add(message)
+        self.place(message, backlog)
+        self.touched[message.dest] = None
+
+    def unkeep(self, message: Message) -> None:
+        """It goes out, or is over."""
+        if backlog := self.held.get(message.dest):
+            backlog.remove(message)
+        if self.least:
+            self.least.drop(message)
+
+    def place(self, message: Message, backlog: Backlog) -> None:
+        """Where it stands: behind another of its key, waiting, or ready."""
+        if message.key and self.lines[message.key][0] != message.id:
+            return backlog.unplace(message)
+        rest = 0.0 if message.attempts else self.rests.get(message.key, 0.0)
+        at = max(message.not_before, rest)
+        backlog.place(message, at if at > self.now else -math.inf)
+
     def on_resumed(self, event: i.Resumed) -> None:
         """Go on with a message of an earlier process; an attempt that it left behind may have run."""
         if event.ended:
             if event.arrival.key and self.s.classes[event.arrival.cls].in_order:
-                self.lines.setdefault(event.arrival.key, []).append(event.arrival.message)
+                self.lines.setdefault(event.arrival.key, deque()).append(event.arrival.message)
+                self.in_line.add(event.arrival.message)
             return
         message = self.hold(event.arrival)
-        message.cls = message.cls.bound_by(event.effect, event.group, event.repeat_window)
+        message.cls = self.same(message.cls.bound_by(event.effect, event.group, event.repeat_window))
         message.attempts = event.attempts
         message.risky_at, message.risky_zone = event.risky_at, event.risky_zone
         if event.interrupted:  # as after a reset: the next try waits, and the key rests
             message.wait = self.draw(message.wait)
             message.not_before = self.now + max(message.wait, self.s.turn_gap)
             if message.key:
-                self.rests[message.key] = self.now + self.s.turn_gap + 1
-        if self.now > self.repeat_until(message) or message.attempts >= self.s.max_attempts:
+                self.rest_key(message.key)
+        self.keep(message)
+        if self.now > message.repeat_until or message.attempts >= self.s.max_attempts:
             self.finish(message)
 
+    def same(self, cls: i.MessageClass) -> i.MessageClass:
+        """One object for all classes that are alike: lanes are told apart by it."""
+        return self.alike.setdefault(cls, cls)
+
+    def rest_key(self, key: int) -> None:
+        self.rests[key] = self.now + self.s.turn_gap + 1
+        self.rested.set(key, self.rests[key])
+        first = self.live.get(self.lines[key][0]) if key in self.lines else None
+        if first and (backlog := self.held.get(first.dest)) and first.id in backlog.held:
+            self.place(first, backlog)
+
     def on_classes(self, event: i.ClassesChange) -> None:
         """Classes changed while messages are held: stricter ones bind them, laxer ones do not."""
         self.s = replace(self.s, classes=event.classes)
         self.usual += [None] * (len(event.classes) - len(self.usual))
+        self.least, self.alike = None, {}
         for m in list(self.live.values()):
-            m.cls = event.classes[m.number].bound_by(m.cls.effect, m.cls.group, m.cls.repeat_window)
-            if not m.out and self.now > self.repeat_until(m):
+            bound = event.classes[m.number].bound_by(m.cls.effect, m.cls.group, m.cls.repeat_window)
+            m.cls = self.same(bound)
+            if m.out:
+                continue
+            self.touched[m.dest] = None
+            self.place(m, self.held[m.dest])
+            if self.now > m.repeat_until:
                 self.finish(m)  # it may have run, and may not be sent again any more
 
     def on_gone(self, event: i.DestinationsGone) -> None:
         """Guards messages for a destination that was removed against waiting for their deadlines."""
         self.closed = event.destinations
-        for m in [m for m in self.live.values() if m.dest in self.closed and not m.out]:
+        held = [m for dest in self.closed if dest in self.held for m in self.held[dest].held.values()]
+        for m in sorted(held, key=lambda m: m.seq):
             self.finish(m)
 
     def on_remembered(self, event: i.Remembered) -> None:
         """Guards unsafe messages against an outage that outlasts the process that knew of it."""
-        if event.endpoint in self.endpoints:
+        if event.endpoint in self.homes:
+            self.rouse(self.homes[event.endpoint])
             route = self.endpoints[event.endpoint].route
             route.wait_until = max(route.wait_until, self.now + event.wait)
             # Not as down: that would begin a ramp anew, at no known rate, with each restart of this process.
             route.risk = max(route.risk, SICK_SHARE if event.down else 0.0)
+            self.touched[self.homes[event.endpoint]] = None
 
     def on_stopping(self, event: i.Stopping) -> None:
         self.stop_at = event.at
@@ -402,46 +603,56 @@
     def end(self, key: int, answered: bool = True) -> None:
         """Nothing more is to do. Its line moves on, but not past an attempt or an end not yet answered."""
         if message := self.live.pop(key, None):
-            self.held.get(message.dest, {}).pop(key, None)
-            if not message.out and answered:
-                self.leave_line(message.key, key)
+            self.deadlines.drop(key)
+            if not message.out:
+                self.unkeep(message)
+                self.touched[message.dest] = None
+                if answered:
+                    self.leave_line(message.key, key)
 
     def leave_line(self, key: int, message: int) -> None:
-        if rest := [other for other in self.lines.pop(key, ()) if other != message]:
-            self.lines[key] = rest
+        line = self.lines.get(key)
+        if line is None or message not in self.in_line:
+            return
+        self.in_line.discard(message)
+        if line[0] != message:
+            return
+        while line and line[0] not in self.in_line:
+            line.popleft()
+        if not line:
+            del self.lines[key]
+        elif (first := self.live.get(line[0])) and not first.out:
+            self.place(first, self.held[first.dest])
+            self.touched[first.dest] = None
 
     def finish(self, message: Message, least: float = 0.0) -> None:
         """Give up: refused where the promise that handing in again is harmless holds, else failed."""
-        until = self.repeat_until(message)
+        until = message.repeat_until
         harmless = until == math.inf or message.cls.group == "all" and self.now < until
         told = min((r.wait_until for r in self.routes.get(message.dest, ())), default=0.0)
         back = max(least, message.wait, message.not_before - self.now, told - self.now)
         self.acts.append(i.Refuse(message.id, back) if harmless else i.Fail(message.id))
         self.end(message.id, answered=not self.s.ends_answered)
 
-    def repeat_until(self, message: Message) -> float:
-        """Until when a message may be sent again, after an attempt that may have run."""
-        if message.risky_at == math.inf or message.cls.effect is Effect.SAFE:
-            return math.inf
-        until = message.risky_at + message.cls.repeat_window - KEY_MARGIN
-        return until if message.cls.effect is Effect.KEYED else -math.inf
-
     def give_up(self) -> None:
         """Answer what is held at its deadline; what is out is answered by its own time-out."""
-        while self.deadlines and self.deadlines[0][0] <= self.now:
-            message = self.live.get(heapq.heappop(self.deadlines)[1])
+        for key in self.deadlines.due(self.now):
+            message = self.live.get(key)
             if message and not message.out:
                 self.finish(message)
-        self.wake = min(self.wake, self.deadlines[0][0] if self.deadlines else math.inf)
-        self.rests = {key: until for key, until in self.rests.items() if until > self.now}
+        self.wake = min(self.wake, self.deadlines.first())
+        for key in self.rested.due(self.now):
+            del self.rests[key]
 
     def draw(self, previous: float, cap: float = CAP) -> float:
         """Decorrelated jitter: min(cap, random(base, previous wait x 3))."""
         return min(cap, self.rng.uniform(BASE, previous * 3))
 
-    def usual_call(self, message: Message, route: Route, size: int = 1) -> float:
+    def usual_call(self, number: int, route: Route, size: int = 1) -> float:
         """What a call should take by its class, the route and its size."""
-        return (self.usual[message.number] or BASE) * (route.latency or 1.0) * math.sqrt(size)
+        return (self.usual[number] or BASE) * (route.latency or 1.0) * math.sqrt(size)
+
+    # --- results ---
 
     def on_result(self, event: i.Result) -> None:
         if (event.message, event.attempt) not in self.calls:
@@ -451,12 +662,16 @@
         if call.left == 0:
             self.free, route.flight = self.free + 1, route.flight - 1
             call.endpoint.flight -= 1
+            self.sick -= route.down
+            del self.out[call.number]
+            self.overdue.drop(call.number)
+        self.touched[self.homes[call.endpoint.info.endpoint]] = None
         if event.wait > 0:  # each outcome of a shared call tells its own; hosts round: a round more
             route.wait_until = max(route.wait_until, self.now + event.wait + self.s.tick)
         if call.left == call.size - 1 and outcome is not Outcome.MOOT:  # its messages share one fate
             self.learn(event, call)
         if key and outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
-            self.rests[key] = self.now + self.s.turn_gap + 1
+            self.rest_key(key)
         message = self.live.get(event.message)
         if message is None:
             return self.leave_line(key, event.message)
@@ -468,8 +683,8 @@
         message.wait = self.draw(message.wait)  # the jittered wait, or the end where no more may be done
         told = min(r.wait_until for r in self.routes.get(message.dest) or [route])  # apart: each its own
         message.not_before = max(self.now + message.wait, told)
-        last = min(message.due - self.usual_call(message, route), self.repeat_until(message))
-        self.held.setdefault(message.dest, {})[message.id] = message
+        last = min(message.due - self.usual_call(message.number, route), message.repeat_until)
+        self.keep(message)
         spent = message.attempts >= self.s.max_attempts or message.dest in self.closed
         if message.not_before > last or spent:
             self.finish(message)
@@ -516,42 +731,75 @@
             endpoint.on_fail(self.now, event.elapsed)
             route.on_fail(self.now, event.outcome)
         if route.down != was:
+            self.sick += route.flight if route.down else -route.flight
             state = "answers again, ramping" if was else f"down ({event.outcome.name.lower()}), trials only"
             self.acts.append(i.OutageChange(endpoint.info.endpoint, route.down))
             self.acts.append(i.Log(f"destination {endpoint.info.destination} {state}"))
 
+    # --- sending ---
+
     def dispatch(self) -> None:
         """Send what may go, the most worth for the time a call takes first, until slots run out."""
         queue: list[tuple] = []
-        for dest in self.held:
+        for dest in self.timers.due(self.now) + self.turns.due(self.now):
+            self.touched[dest] = None
+        for dest in self.barred.due(self.now, max(0, self.most_sick - self.sick)):
+            self.touched[dest] = None
+        touched, self.touched = self.touched, {}
+        for dest in touched:
             self.offer(queue, dest)
-        while queue and self.free > 0:
+        while self.free > 0:
+            self.draw_up(queue)
+            if not queue and not self.admit(queue):
+                break
             _, dest, endpoint, batch = heapq.heappop(queue)
+            if endpoint.route.down and self.sick >= self.most_sick:
+                self.bar(dest)
+                continue
             self.send(endpoint, batch)
             self.offer(queue, dest)
-        oldest = min((call for call, _ in self.calls.values()), key=lambda c: c.overdue_at, default=None)
-        if queue and oldest and oldest.overdue_at < self.now and self.s.may_cancel:
+        self.park(queue)
+        if self.waits_as and self.s.may_cancel and self.overdue.first() < self.now:
             # Guards against answers that never come holding every slot: the most overdue call is called off.
-            self.acts.extend(i.Cancel(*key) for key, (call, _) in self.calls.items() if call is oldest)
-            oldest.overdue_at = math.inf
+            number = self.overdue.peek()
+            assert number is not None
+            self.overdue.drop(number)
+            self.acts.extend(i.Cancel(*part) for part in self.out[number].parts if part in self.calls)
 
     def offer(self, queue: list, dest: int) -> None:
-        """Put a destination's best next call, if it may go now, in the queue."""
-        held, routes, able = self.held[dest], self.routes.get(dest, []), []
-        room, now = max(1, self.s.slots * 3 // 4) - sum(route.flight for route in routes), self.now
-        for route in routes if held else ():
-            at = route.ready_at(self.now, room)
-            if at > self.now:
-                self.wake = min(self.wake, at)
+        """Put a destination's best next call, if it may go now, in the queue; and know when to look again."""
+        self.unpark(dest)
+        backlog, now, wake = self.held.get(dest), self.now, math.inf
+        if not backlog:
+            self.held.pop(dest, None)
+            return self.timers.drop(dest)
+        for key in backlog.later.due(now):
+            self.place(backlog.held[key], backlog)
+        routes, able = self.routes.get(dest, []), []
+        room = max(1, self.s.slots * 3 // 4) - sum(route.flight for route in routes)
+        for route in routes:
+            if route.quiet(now):
+                route.reset()  # what was learnt so long ago says nothing of the next call
+            at = route.ready_at(now, room)
+            if at > now:
+                wake = min(wake, at)
+            elif route.down and self.sick >= self.most_sick:
+                self.bar(dest)
             elif endpoint := self.choose(route):
                 zone, kind = endpoint.info.zone, self.s.kinds[endpoint.info.kind]
                 fee = self.s.zone_fee[zone] if kind.apart and self.s.zone_fee else 0.0
                 able.append((route.down, route.is_cold(now), fee, route.flight, endpoint.order, endpoint))
         *_, endpoint = min(able, default=(None,))
-        if endpoint and (batch := self.pick(held, endpoint)):
-            worth = sum(m.value(now, self.s.late_halves) for m in batch)
-            took = self.usual_call(batch[0], endpoint.route, len(batch))
-            heapq.heappush(queue, (-worth / took, dest, endpoint, batch))
+        if endpoint:
+            doubtful = endpoint.route.down or endpoint.route.risk > SICK_SHARE / 2
+            if batch := self.pick(backlog, endpoint, doubtful):
+                worth = sum(m.value(now, self.s.late_halves) for m in batch)
+                took = self.usual_call(batch[0].number, endpoint.route, len(batch))
+                heapq.heappush(queue, (-worth / took, dest, endpoint, batch))
+            elif backlog.lanes:  # bound to another zone, maybe: another endpoint may come first by then
+                wake = min(wake, min(self.turns_at(row[-1].route) for row in able))
+            wake = min(wake, backlog.next_at(now, doubtful))
+        self.timers.set(dest, wake)
 
     def choose(self, route: Route) -> Endpoint | None:
         """The endpoint for the next call: fewest failures, least busy, with a connection to use again."""
@@ -559,35 +807,147 @@
         cold = self.now - self.s.keep_alive
         return min(ready, key=lambda e: (*e.penalty(self.now), e.warm < cold, e.order), default=None)
 
-    def pick(self, held: dict[int, Message], endpoint: Endpoint) -> list[Message]:
+    def turns_at(self, route: Route) -> float:
+        """When time alone may change which of its endpoints comes first, or which of the routes."""
+        quiet = max(route.used_at, route.wait_until, route.next_at) + IDLE + EARLY
+        times = [quiet, route.cold_at + self.s.cold, *(e.shun_until for e in route.endpoints)]
+        return min((at for at in times if at > self.now), default=math.inf)
+
+    def pick(self, backlog: Backlog, endpoint: Endpoint, doubtful: bool) -> list[Message]:
         """The messages of the next call, the most valuable first; of equals the one nearest its aim."""
-        route, able = endpoint.route, []
-        trial = route.down or endpoint.fails > 0
-        doubtful = route.down or route.risk > SICK_SHARE / 2  # guards unsafe messages, for half their life
-        for m in held.values():
-            rest = 0.0 if m.attempts else self.rests.get(m.key, 0.0)
-            spare = m.due - m.cls.deadline / 2 if doubtful and m.cls.effect is Effect.UNSAFE else 0.0
-            at, until = max(m.not_before, rest, spare), self.repeat_until(m)
-            elsewhere = until < math.inf and m.cls.group == "zone" and m.risky_zone != endpoint.info.zone
-            if at > self.now:
-                self.wake = min(self.wake, at)
-            elif self.now + STOP_CALLS * self.usual_call(m, route) > self.stop_at:
-                continue  # guards against calls cut off by the end of the process: they may have run
-            elif not (m.key and self.lines[m.key][0] != m.id or self.now > until or elsewhere):
-                first = m.cls.effect if trial else 0  # trials are best made with what may be repeated
-                able.append((first, -m.value(self.now, self.s.late_halves), m.aim_at, m.id, m))
+        route, fits = endpoint.route, None
+        trial = route.down or endpoint.fails > 0  # trials are best made with what may be repeated
+        if self.stop_at < math.inf:  # guards against calls cut off by the process's end: they may have run
+            left = self.stop_at - self.now
+            fits = {n for n in range(len(self.usual)) if STOP_CALLS * self.usual_call(n, route) <= left}
         size = 1 if route.down else self.s.kinds[endpoint.info.kind].batch
-        return [a[-1] for a in heapq.nsmallest(size, able)]
+        return backlog.best(self.now, size, endpoint.info.zone, trial, doubtful, self.s.late_halves, fits)
 
     def send(self, endpoint: Endpoint, batch: list[Message]) -> None:
-        route, call = endpoint.route, Call(endpoint, self.now, len(batch))
+        self.sent += 1
+        route, call = endpoint.route, Call(self.sent, endpoint, self.now, len(batch))
         self.free, endpoint.flight = self.free - 1, endpoint.flight + 1
+        self.sick += route.down
+        self.out[call.number] = call
         route.on_send(self.now)
         for m in batch:
-            timeout = max(TIMEOUT_FLOOR, TIMEOUT_CALLS * self.usual_call(m, route, len(batch)))
-            call.overdue_at = self.now + timeout / 2
-            del self.held[m.dest][m.id]
+            timeout = max(TIMEOUT_FLOOR, TIMEOUT_CALLS * self.usual_call(m.number, route, len(batch)))
+            self.overdue.set(call.number, self.now + timeout / 2)
+            self.unkeep(m)
             self.calls[m.id, m.attempts] = (call, m.key)
+            call.parts.append((m.id, m.attempts))
             m.out, m.attempts = True, m.attempts + 1
             timeout = max(1.0, min(timeout, m.due - self.now - 2 * self.s.tick))
             self.acts.append(i.Send(m.id, endpoint.info.endpoint, timeout))
+
+    # --- waiting for a slot ---
+
+    def bar(self, dest: int) -> None:
+        """Guards the healthy against many that are down: all trials hold a share of the slots at most."""
+        if dest not in self.barred:
+            self.barred.set(dest, self.now)
+
+    def admit(self, queue: list) -> bool:
+        """With slots to spare, the next of those that are down; whether there is one."""
+        while self.sick < self.most_sick and (dest := self.barred.peek()) is not None:
+            self.barred.drop(dest)
+            self.offer(queue, dest)
+            if queue:
+                return True
+        return False
+
+    def draw_up(self, queue: list) -> None:
+        """Put those that have waited for a slot into the queue, as far as they come before what is there."""
+        while (found := self.foremost()) is not None:
+            worth, dest = found
+            first = (-queue[0][0], queue[0][1]) if queue else (-math.inf, 0)
+            near = abs(worth - first[0]) <= EQUAL * abs(worth)
+            if worth < first[0] and not near or near and dest > first[1]:
+                return
+            self.offer(queue, dest)  # looked at anew: only what it was worth then is known
+
+    def foremost(self) -> tuple[float, int] | None:
+        """What the best of those that wait is worth for the time of its call, and its destination."""
+        best: tuple[float, int] | None = None
+        for number, tree in self.waiting.items():
+            if (dest := tree.best(self.now)) is not None:
+                value = tree.value(dest, self.now)
+                worth = (math.exp(value) if self.s.late_halves else value) / (self.usual[number] or BASE)
+                if best is None or (worth, -dest) > (best[0], -best[1]):
+                    best = (worth, dest)
+        return best
+
+    def park(self, queue: list) -> None:
+        """No slot is left: what was offered waits, in order of what it will be worth at any time."""
+        lines: dict[int, list[tuple[int, Line]]] = {}
+        for _, dest, endpoint, batch in queue:
+            number = self.waits_as[dest] = batch[0].number
+            line, turn = self.line(dest, endpoint.route, batch)
+            lines.setdefault(number, []).append((dest, line))
+            self.turns.set(dest, min(turn, min(self.turns_at(route) for route in self.routes[dest])))
+        for number, some in lines.items():
+            tree = self.waiting.get(number)
+            if tree is None:
+                tree = self.waiting[number] = Kinetic()
+            if len(some) > 8 and 4 * len(some) > len(tree):
+                tree.set_all(self.now, some)
+            else:
+                for dest, line in some:
+                    tree.set(dest, self.now, *line)
+
+    def unpark(self, dest: int) -> None:
+        if (number := self.waits_as.pop(dest, None)) is not None:
+            self.waiting[number].drop(dest, self.now)
+            self.turns.drop(dest)
+
+    def line(self, dest: int, route: Route, batch: list[Message]) -> tuple[Line, float]:
+        """What a call is worth as time goes on, and when another may be better: see Kinetic.
+
+        Where worth halves, its logarithm falls in a line; a call of several messages is taken to go on as it
+        does now until the next of them is late.
+        """
+        now, halves, backlog = self.now, self.s.late_halves, self.held[dest]
+        scale = (route.latency or 1.0) * math.sqrt(len(batch))
+        value = sum(m.value(now, halves) for m in batch)
+        fall = sum(fall_of(m, now, halves) for m in batch if now >= m.aim_at)
+        aims = [m.aim_at for m in batch if m.aim_at > now]
+        turn, since = min(aims, default=math.inf) if len(backlog) > 1 else math.inf, now
+        if len(batch) > 1:
+            turn = min(turn, now + RANKED)
+        if len(batch) == 1 and aims:
+            fall, since = fall_of(batch[0], aims[0], halves), aims[0]
+        if len(backlog.lanes) > 1 and not aims:
+            turn = self.overtaken(backlog, batch[0], value, fall, halves)
+        if halves:
+            floors = [floored_at(m) for m in batch]
+            turn = min(turn, min((at for at in floors if at > now), default=math.inf))
+            return (math.log(max(value, 1e-300) / scale), fall / max(value, 1e-300), since), turn
+        return (value / scale, fall / scale, since), turn
+
+    def overtaken(self, backlog: Backlog, first: Message, value: float, fall: float, halves: bool) -> float:
+        """When the best of another class is worth more than the one that is the best now."""
+        at = math.inf
+        for lane in backlog.lanes.values():
+            other = next(lane.sendable(self.now, halves, False), None)
+            if other is None or other is first:
+                continue
+            closing = fall - (fall_of(other, self.now, halves) if self.now >= other.aim_at else 0.0)
+            lead = value - other.value(self.now, halves)
+            at = min(at, self.now + max(lead / closing, self.s.tick)) if closing > 0 else at
+        return at
+
+
+def floored_at(message: Message) -> float:
+    """When a worth that halves falls no further."""
+    floor = message.cls.late_worth
+    span = -math.log2(floor) * max(message.cls.aim, 1.0) if floor > 0 else math.inf
+    return message.aim_at + span
+
+
+def fall_of(message: Message, at: float, halves: bool) -> float:
+    """What a late message loses in a millisecond."""
+    if halves:
+        floor = message.worth * message.cls.late_worth
+        value = message.value(at, halves)
+        return value * math.log(2) / max(message.cls.aim, 1.0) if value > floor else 0.0
+    return message.worth * (1 - message.cls.late_worth) / max(message.due - message.aim_at, 1.0)
--- /dev/null
+++ b/rainpier/structures/__init__.py
@@ -0,0 +1,1 @@
+"""Data structures that the decisions rest on; general, without any input or output."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -289,8 +289,8 @@
 def test_a_call_called_off_while_others_are_answered_is_no_sign_of_an_outage():
     """Slots were short, slow calls were called off, and their destination went down for it."""
     rig = Rig()
-    route = rig.sender.routes[1][0]
     assert sends(rig.do(*(i.Arrival(n, 0, 1, rig.now + 20000) for n in (1, 2, 3, 4)))) == [1, 2, 3, 4]
+    route = rig.sender.routes[1][0]
     rig.result(4, i.Outcome.OK, after=500.0)
     for n in (1, 2, 3):
         rig.result(n, i.Outcome.CANCELLED, after=400.0)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -36,9 +36,9 @@
         async with HttpPeer(limit) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial, share=120.0)]
             async with sender(tmp_path, agent, weights="rough") as node, Client(node.port) as client:
-                (route,) = node.sender.routes[3]
                 await hand_in(client, 0, 3)
                 await until(lambda: limit.taken == 3)
+                (route,) = node.sender.routes[3]
                 limit.shut = True
                 await hand_in(client, 3, 90)
                 await until(lambda: route.pace < 3)
