Take up large lists in slices, and keep the node's work apart from all that is held

Need: the node looked at all held messages ten times a second, built the set of all destinations from all receivers at each forgetting, counted a destination's held messages one by one, and took up a list of any size in one go, which holds up every answer and every drain that long.

Receivers keep no list of idle connections before there is one.

--- a/benchmarks/policy_scale.py
+++ b/benchmarks/policy_scale.py
@@ -1,6 +1,6 @@
 """What one delivered message costs the decisions, with many held and with many idle destinations known.
 
-    python benchmarks/policy_scale.py [MOST]
+    python benchmarks/policy_scale.py [MOST [CASE]]
 
 The module beside the plain one that looks at everything in each round (tests/naive_policy.py, the same
 decisions), in one run: rounds that each bring one answer and one new message. Four cases: all held for one
@@ -40,6 +40,8 @@
         self.out: list[tuple[int, int]] = []
         total = destinations + idle
         self.round([i.ListChange(i.ListKind.FULL, tuple(i.Listed(n + 1, n) for n in range(total)))])
+        for n in range(destinations, total):  # as a message that each of them once had leaves them
+            self.sender.rouse(n) if module is policy else self.sender.held.setdefault(n, {})
         for start in range(0, held, 1000):
             self.round([self.arrival() for _ in range(start, min(held, start + 1000))])
 
@@ -83,7 +85,8 @@
         "idle destinations": lambda n: (50, 1, n, False),
     }
     worst = 0.0
-    for name, shape in cases.items():
+    chosen = sys.argv[2] if len(sys.argv) > 2 else ""
+    for name, shape in ((n, s) for n, s in cases.items() if n.startswith(chosen)):
         first = 0.0
         for size in (n for n in SIZES if n <= most):
             quick = Load(policy, *shape(size)).cost(3000, 30.0)
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -57,7 +57,7 @@
     listed: i.Listed
     batch: int
     told_at: float = math.inf  # loop time at which it was told to drain or be gone
-    idle: list[Connection] = field(default_factory=list)
+    idle: list[Connection] | None = None  # None until there is one: most receivers are never called
     calls: int = 0  # open ones
     broker: "Carrier | None" = None  # what carries its calls, where that is not HTTP
 
@@ -302,13 +302,15 @@
         if receiver.listed.condition is not i.Condition.READY:
             return connection.close()
         connection.park(self.drop)
+        if receiver.idle is None:
+            receiver.idle = []
         receiver.idle.append(connection)
         self.parked[connection] = receiver
 
     def drop(self, connection: Connection) -> None:
         """One that ended, said something unasked, or is not to be kept."""
         receiver = self.parked.pop(connection, None)
-        if receiver is not None:
+        if receiver is not None and receiver.idle:
             receiver.idle.remove(connection)
         connection.close()
 
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -3,6 +3,7 @@
 import json
 import math
 import os
+import sys
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -85,7 +86,7 @@
     host, _, port = str(text).rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ConfigError(f"{name}: not HOST:PORT: {text!r}")
-    return host.strip("[]"), int(port)
+    return sys.intern(host.strip("[]")), int(port)  # many endpoints may share one
 
 
 def limit(limits: Mapping, name: str, default: float) -> float:
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from .. import interface as i
 from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
@@ -22,7 +23,9 @@
 from ..store.entry import Entry
 from ..store.files import Folder
 from ..store.store import Store
+from ..structures.schedule import Schedule
 from ..tasks import keep
+from .listing import Listing
 
 log = logging.getLogger(__name__)
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
@@ -33,6 +36,7 @@
 SPANS = 2  # times its class's deadline that a message may ask for at most
 DOOR_WAIT = 1000  # ms after which a client may come again where there is no room at all
 FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
+MOST_FORGOTTEN = 500  # receivers looked at in one sweep: guards against a long stop where many leave
 OK = b"+OK\r\n"
 
 
@@ -73,6 +77,8 @@
         self.receivers.brokers = brokers(self.s, config)
         self.receivers.early = self.on_early
         self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
+        self.held: Counter[int] = Counter()  # by destination: messages in the store
+        self.late: Schedule[int] = Schedule()  # messages, by when they are ended whatever the module says
         self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
         self.events: list[i.Event] = []
         self.intake: dict[int, Intake] = {}  # by number, until the next round
@@ -80,9 +86,11 @@
         self.out: dict[int, Call] = {}  # by message: the call that it travels in
         self.hosts: dict[str, int] = {}  # the numbers of receivers, by name
         self.next_host = 1
-        self.destinations: set[int] = set()  # of the receivers that are remembered
-        self.forgotten: set[int] = set()  # receivers that the module has dropped, while a call may be open
-        self.told_until: dict[tuple[str, int], float] = {}  # by route: until then a told wait holds
+        self.destinations: Counter[int] = Counter()  # receivers that are remembered, by destination
+        self.numbers: frozenset[int] = frozenset()  # of the destinations that the configuration has
+        self.listing = Listing(self.take_up, self.hosts, self.gone)
+        self.forgotten: dict[int, None] = {}  # receivers that the module has dropped; calls may be open
+        self.told_until: Schedule[tuple[str, int]] = Schedule()  # by route: until then a told wait holds
         self.next_round: asyncio.TimerHandle | None = None
         self.last_round = -math.inf
         self.timers: dict[int, asyncio.TimerHandle] = {}  # by the module's token
@@ -98,16 +106,18 @@
     async def start(self) -> None:
         """Take up the list and what an earlier process left."""
         if self.config.known:
-            self.on_list(i.ListKind.CACHED, read_hosts(self.config.known))
-        self.source.start(self.on_list)
+            self.listing.told(i.ListKind.CACHED, read_hosts(self.config.known))
+        self.source.start(self.listing.told)
         self.sink.start(self.on_answered)
         self.tasks.append(self.loop.create_task(keep(self.sweep)))
         # Guards against sending what was left to a receiver that drained meanwhile.
         if self.store.entries:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.source.whole.wait(), FIRST_LIST)
+                await self.listing.done()
         if not self.store.name(self.config.destinations):
             raise OSError("the store takes no record: is the disk full?")
+        self.listing.in_slices = True  # from now on there is somebody to keep waiting
         for entry in list(self.store.entries.values()):
             self.resume(entry)
         if self.config.destinations:
@@ -115,6 +125,7 @@
 
     def resume(self, entry: Entry) -> None:
         cls = self.classes.get(entry.cls)
+        self.own(entry)
         if entry.reply_to:
             self.owed[entry.reply_to] += 1
         if entry.end:
@@ -151,6 +162,7 @@
         """What is still out stays in the store as begun, for the next process: it may have run."""
         for task in self.tasks:
             task.cancel()
+        self.listing.close()
         self.source.close()
         self.sink.close()
         for timer in self.timers.values():
@@ -196,7 +208,9 @@
         elif not self.store.take(entry):
             answer = b"-BUSY %d\r\n" % DOOR_WAIT
             self.push(i.Withdrawn(entry.number))
-        if answer is not OK:
+        if answer is OK:
+            self.own(entry)
+        else:
             self.unowe(entry)
         if end is not None and entry.key:
             self.push(i.EndAnswered(entry.number, entry.key))
@@ -205,6 +219,21 @@
         else:
             self.answer(handed, answer)
 
+    def own(self, entry: Entry) -> None:
+        """It is in the store, and owed its end."""
+        self.held[entry.destination] += 1
+        self.late.set(entry.number, entry.deadline + OVERDUE)
+
+    def over(self, entries: list[Entry]) -> None:
+        """Nothing more is owed for these."""
+        for entry in entries:
+            if entry.number in self.store.entries:
+                self.late.drop(entry.number)
+                self.held[entry.destination] -= 1
+                if not self.held[entry.destination]:
+                    del self.held[entry.destination]
+        self.store.over(entries)
+
     @staticmethod
     def answer(handed: Intake, answer: bytes) -> None:
         if not handed.answer.done():
@@ -227,7 +256,7 @@
                     receiver = self.receivers.listed[endpoint]
                     self.store.outage(self.route_name(receiver.listed), self.now if down else 0.0)
                 case i.Forget(endpoint):
-                    self.forgotten.add(endpoint)
+                    self.forgotten[endpoint] = None
                 case i.Log(text):
                     log.info("%s", text)
         for endpoint, sent in sends.items():
@@ -270,7 +299,7 @@
             return error(f"unknown class {put.cls}")
         if put.tenant and self.tenants and put.tenant not in self.tenants:
             return error(f"unknown tenant {put.tenant}")
-        if put.destination not in self.destinations:
+        if put.destination not in self.destinations or self.numbers and put.destination not in self.numbers:
             return error(f"unknown destination {put.destination}")
         if len(put.body) > self.config.largest_body:
             return error(f"body longer than {self.config.largest_body} bytes")
@@ -309,7 +338,7 @@
         return len(self.store.entries) + len(self.intake) >= most or not self.store.room(b"")
 
     def held_for(self, destination: int) -> int:
-        return sum(entry.destination == destination for entry in self.store.entries.values())
+        return self.held[destination]
 
     # --- ends for reply queues ---
 
@@ -355,6 +384,7 @@
         for cls, entries in bound:
             self.store.bind(entries, int(cls.effect), cls.group, cls.repeat_window)
         self.store.name(config.destinations)
+        self.held = Counter(entry.destination for entry in self.store.entries.values())  # renumbered, maybe
         self.push(i.ClassesChange(self.s.classes))
         self.close_destinations()
 
@@ -376,10 +406,9 @@
 
     def close_destinations(self) -> None:
         """What is held for a destination that the configuration no longer has gets its end now."""
-        known = set(self.config.destinations.values())
-        self.destinations = {number for number in self.destinations if number in known}
-        entries = [*self.store.entries.values(), *(handed.entry for handed in self.intake.values())]
-        self.push(i.DestinationsGone(frozenset(entry.destination for entry in entries) - known))
+        self.numbers = frozenset(self.config.destinations.values())
+        used = {handed.entry.destination for handed in self.intake.values()} | self.held.keys()
+        self.push(i.DestinationsGone(frozenset(used) - self.numbers))
 
     # --- calls ---
 
@@ -409,13 +438,13 @@
         # Guards drains and waits against calls whose connection took long to come up.
         if now - receiver.told_at > self.s.drain_grace / 2000:
             return False
-        return now >= self.told_until.get(self.route(receiver.listed), 0.0)
+        return now >= self.told_until.times.get(self.route(receiver.listed), 0.0)
 
     def on_ended(self, call: Call, ending: Ending) -> None:
         if ending.wait:
             route = self.route(call.receiver.listed)
             until = self.loop.time() + ending.wait / 1000
-            self.told_until[route] = max(self.told_until.get(route, 0.0), until)
+            self.told_until.set(route, max(self.told_until.times.get(route, 0.0), until))
             self.store.wait(self.route_name(call.receiver.listed), until * 1000 + self.epoch)
         self.log_failures(call, ending)
         over, owed = [], []
@@ -432,7 +461,7 @@
                 self.tell(entry, DELIVERED if outcome is i.Outcome.OK else OVER)
             self.settle(call, entry, attempt, outcome, closed, ending)
         if over:
-            self.store.over(over)
+            self.over(over)
         self.store.results(owed)
 
     def on_early(self, call: Call, entry: Entry, outcome: i.Outcome) -> None:
@@ -445,7 +474,7 @@
             self.tell(entry, DELIVERED)
         self.settle(call, entry, attempt, outcome, closed, Ending([]))
         if closed:
-            self.store.over([entry])
+            self.over([entry])
         else:
             self.store.results([(entry, outcome)])
 
@@ -498,7 +527,7 @@
         self.sink.add(entry)
 
     def on_answered(self, entries: list[Entry]) -> None:
-        self.store.over(entries)
+        self.over(entries)
         for entry in entries:
             if entry.number not in self.out:
                 self.release(entry)
@@ -513,8 +542,10 @@
         """Guards against a message without an end: whatever went wrong, its client is told in time."""
         while True:
             await asyncio.sleep(SWEEP)
-            late = self.now - OVERDUE
-            for entry in [e for e in self.store.entries.values() if e.deadline < late and not e.end]:
+            for number in self.late.due(self.now):
+                entry = self.store.entries.get(number)
+                if entry is None or entry.end:
+                    continue
                 log.error("message %s was not ended in time; given up", entry.id)
                 self.push(i.Withdrawn(entry.number))
                 self.conclude(entry, GIVEN_UP, 0)
@@ -523,27 +554,33 @@
 
     def forget(self) -> None:
         """Drop what is kept of receivers that are gone for good, and waits that are over."""
-        now = self.loop.time()
-        self.told_until = {route: until for route, until in self.told_until.items() if until > now}
-        if not self.forgotten:
-            return
-        for number in list(self.forgotten):
+        self.told_until.due(self.loop.time())
+        for number in list(islice(self.forgotten, MOST_FORGOTTEN)):
             receiver = self.receivers.listed.get(number)
-            if receiver is None or self.receivers.forget(number):
-                self.forgotten.discard(number)
-                if receiver is not None and self.hosts.get(receiver.host) == number:
+            del self.forgotten[number]
+            if receiver is None:
+                continue
+            if not self.receivers.forget(number):
+                self.forgotten[number] = None  # a call to it is open: again, behind the others
+            else:
+                if self.hosts.get(receiver.host) == number:
                     del self.hosts[receiver.host]
-        self.destinations = {r.listed.destination for r in self.receivers.listed.values()}
-        if self.config.destinations:  # those of the file, whether or not an old receiver is still remembered
-            self.destinations &= set(self.config.destinations.values())
+                self.leave(receiver.listed.destination)
 
     # --- the list ---
 
-    def on_list(self, kind: i.ListKind, hosts: list[Host]) -> None:
-        entries = []
-        for host in hosts:
-            if (listed := self.listed(host)) is not None:
-                entries.append(listed)
+    def gone(self, name: str) -> Host:
+        """What the list says of a known receiver that it lacks."""
+        receiver = self.receivers.listed[self.hosts[name]]
+        listed, (address, port) = receiver.listed, receiver.address
+        zone = self.config.zones[listed.zone] if listed.zone < len(self.config.zones) else ""
+        kind, rate = self.s.kinds[listed.kind].name, listed.rate or 0.0
+        dial = f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
+        return Host(name, dial, zone, kind, listed.destination, i.Condition.GONE, rate, listed.added)
+
+    def take_up(self, kind: i.ListKind, hosts: list[Host]) -> None:
+        """A part of the list, or all of it, between two rounds."""
+        entries = [listed for host in hosts if (listed := self.listed(host)) is not None]
         if kind is not i.ListKind.DELTA:  # a receiver missing from a whole list is gone
             present = {entry.endpoint for entry in entries}
             for number, receiver in self.receivers.listed.items():
@@ -561,7 +598,7 @@
             until, since = waits.pop(name, 0.0), outages.pop(name, 0.0)
             until = until if self.config.destinations else 0.0  # the platform's rule: a restart ends a wait
             if until > self.now:
-                self.told_until[self.route(listed)] = (until - self.epoch) / 1000
+                self.told_until.set(self.route(listed), (until - self.epoch) / 1000)
             if until > self.now or since:
                 self.push(i.Remembered(listed.endpoint, max(0.0, until - self.now), since > 0))
 
@@ -580,11 +617,20 @@
         zone = self.config.zones.index(host.site) if host.site in self.config.zones else 0
         rate = host.share if self.config.rated else None
         listed = i.Listed(number, host.block, zone, self.kinds[host.kind], host.health, rate, host.born)
+        known = self.receivers.listed.get(number)
+        if known is None or known.listed.destination != host.block:
+            self.destinations[host.block] += 1
+            if known is not None:
+                self.leave(known.listed.destination)
         self.receivers.update(listed, host.name, dial)
-        if host.health is not i.Condition.GONE:
-            self.destinations.add(host.block)
         return listed
 
+    def leave(self, destination: int) -> None:
+        """One receiver fewer is remembered for it."""
+        self.destinations[destination] -= 1
+        if not self.destinations[destination]:
+            del self.destinations[destination]
+
     def number(self, host: Host) -> int | None:
         """A receiver's number in this process; none for one that is gone before it was known."""
         number = self.hosts.get(host.name)
--- a/rainpier/sinks/sink.py
+++ b/rainpier/sinks/sink.py
@@ -3,6 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from itertools import islice
 
 from ..store.entry import Entry
 from ..tasks import keep
@@ -49,7 +50,7 @@
         failures = 0
         while True:
             await self.some.wait()
-            batch = list(self.waiting.values())[:MOST]
+            batch = list(islice(self.waiting.values(), MOST))
             if await self.tell(batch):
                 failures = 0
                 self.answered(batch)
--- a/rainpier/structures/schedule.py
+++ b/rainpier/structures/schedule.py
@@ -58,6 +58,8 @@
     def due(self, now: float, most: int | None = None) -> list[Key]:
         """Take out the keys whose time has come, the earliest first; `most` of them, or all."""
         found: list[Key] = []
+        if not self.heap or self.heap[0][0] > now:  # as nearly always
+            return found
         while self.first() <= now and len(found) != most:
             key = heapq.heappop(self.heap)[1]
             del self.times[key]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -44,7 +44,7 @@
                 assert len(module.endpoints) == len(node.hosts) == len(node.receivers.listed) == 20
                 assert len(module.routes) == len(node.destinations) == 1 and not module.held
                 assert [len(routes) for routes in module.routes.values()] == [1]
-                await until(lambda: not node.told_until)
+                await until(lambda: not len(node.told_until))
                 assert not node.receivers.calls and len(node.receivers.parked) <= 8
                 assert not node.forgotten and not node.store.numbers and not node.store.sizes
                 assert len(asyncio.all_tasks()) < 40 and sys.getrefcount(node) < 100
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -203,7 +203,7 @@
                 assert await client.ask(put("one")) == "OK"
                 await until(lambda: receiver.accepted)
                 assert await client.ask(put("two")) == "OK"
-                await until(lambda: node.told_until)
+                await until(lambda: len(node.told_until))
                 told = asyncio.get_running_loop().time()
                 gate.set()
                 await receiver.next()
