Test a cold return with thousands of keys, and two counts that no test would have missed

Need: two lines broken on purpose were found by no test (the count of slots that sick destinations hold, when a route goes down or returns; the node's schedule of overdue messages when one is over), and nothing played a destination's return with a backlog of keyed orders.

Change: tests/test_return.py plays a minute: 3,000 orders of 1,500 keys held over an outage, another destination beside it; no window above what the rule allows a cold destination, each key in order, the other undisturbed. tests/test_same.py holds the count against the routes after every round, tests/test_growth.py the schedule.

--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -46,6 +46,7 @@
                 assert [len(routes) for routes in module.routes.values()] == [1]
                 await until(lambda: not len(node.told_until))
                 assert not node.receivers.calls and len(node.receivers.parked) <= 8
+                assert not len(node.late) and not node.held
                 assert not node.forgotten and not node.store.numbers and not node.store.sizes
                 assert len(asyncio.all_tasks()) < 40 and sys.getrefcount(node) < 100
 
--- /dev/null
+++ b/tests/test_return.py
@@ -0,0 +1,63 @@
+"""A destination returns with a backlog of thousands of keys: cold, in order, and without disturbing others."""
+
+from collections import defaultdict
+
+from test_policy import Rig
+
+from rainpier import interface as i
+
+ORDERED = i.MessageClass("order", 2.0, 4000.0, 120_000.0, 0.3, i.Effect.KEYED, "all", 110_000.0, True)
+RATE, COLD, FROM, FACTOR, FALL = 20.0, 10_000.0, 0.25, 2.0, 2000.0
+KEYS, EACH = 1500, 2
+
+
+def allowed(since):
+    """Calls a second that a destination can do so long after its return."""
+    return RATE * (FROM + (1 - FROM) * min(1.0, since / COLD))
+
+
+def test_the_first_minute_after_an_outage_with_a_backlog_of_keys():
+    rig = Rig(endpoints=((7, 1), (8, 2)), classes=(ORDERED,), slots=16, max_open=10_000, senders=1, cold=COLD,
+              cold_from=FROM, overload_factor=FACTOR, fall=FALL)  # fmt: skip
+    rig.do(i.ListChange(i.ListKind.FULL, (i.Listed(7, 1, rate=RATE), i.Listed(8, 2, rate=RATE))))
+    ids, out, key_of = 0, {}, {}
+    back_at, calls, others, done = rig.now + 6000.0, [], [0, 0], defaultdict(list)
+
+    def step(events):
+        rig.now += 10.0
+        for action in rig.sender.handle(rig.now, events):
+            if isinstance(action, i.Send):
+                number = rig.tries.get(action.message, 0)
+                rig.tries[action.message] = number + 1
+                out[action.message] = (number, action.endpoint, rig.now)
+                if action.endpoint == 7 and rig.now >= back_at:
+                    calls.append(rig.now)
+
+    for _ in range(6000):
+        events = []
+        for message, (number, endpoint, sent) in list(out.items()):
+            up = endpoint == 8 or sent >= back_at
+            if rig.now - sent >= (50.0 if up else 5.0):
+                del out[message]
+                outcome = i.Outcome.OK if up else i.Outcome.CONNECT_FAILED
+                events.append(i.Result(message, number, endpoint, outcome, rig.now - sent, up))
+                if up:
+                    others[1] += endpoint == 8
+                    done[key_of[message]].append(message)
+        if ids < KEYS * EACH:
+            for _ in range(12):
+                ids += 1
+                key_of[ids] = ids % KEYS + 1
+                events.append(i.Arrival(ids, 0, 1, rig.now + 120_000.0, key_of[ids]))
+        if rig.now % 100 < 10:  # ten a second for the other one
+            others[0] += 1
+            message = 1_000_000 + others[0]
+            key_of[message] = message
+            events.append(i.Arrival(message, 0, 2, rig.now + 120_000.0, message))
+        step(events)
+    assert len(calls) > 0.4 * RATE * 50  # it is caught up with
+    for n, begun in enumerate(calls):  # and not pushed over: no window above the rule's multiple
+        within = sum(begun <= at < begun + FALL for at in calls[n : n + 1000])
+        assert within <= FACTOR * allowed(begun + FALL - back_at) * FALL / 1000 + 1
+    assert all(order == sorted(order) for order in done.values())
+    assert others[0] - others[1] <= 3
--- a/tests/test_same.py
+++ b/tests/test_same.py
@@ -82,6 +82,8 @@
         plain, quick = self.naive.handle(self.now, events), self.sender.handle(self.now, events)
         wanted, got = (self.told(actions) for actions in (plain, quick))
         assert got == wanted, f"at {self.now}"
+        routes = [route for some in self.sender.routes.values() for route in some]
+        assert self.sender.sick == sum(route.flight for route in routes if route.down)
         for action in quick:
             if isinstance(action, i.Send):
                 attempt = self.tries.get(action.message, 0)
