Leave no circle of an idle destination's routes and endpoints behind

Cause: what is listed is kept from the collector, and a comment said that nothing of it is in a circle, but a route and its endpoints are. Change: a destination that is packed breaks it.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -431,6 +431,8 @@
             del self.endpoints[e.info.endpoint]
         if endpoints:
             self.listed[dest] = tuple(e.info for e in endpoints)
+        for route in routes:
+            route.endpoints = []  # no circle is left for a collector that may not look here (node/listing.py)
         self.routes.pop(dest, None)
         return True
 
