Start on a full disk: refuse, send and answer what can be recorded, and go on by itself

Need: a sidecar killed while another program had filled the disk exited at its next start with [Errno 28], so that what it held got no answer until somebody made room.

Change: the store gives up its reserve for the first segment; without one it starts with no log, knows what is owed, lets every record wait in its order, and begins the log with the first that finds room. The decisions are told (Stalled), so that no try is used up on an attempt that can't be recorded. What an earlier start left unfinished goes first, and its reserve is kept as it lies. Found beside it: Store.name refused a record on a full disk and its callers went on, so that after a renumbering held messages went by the old numbers; now they move at once, the record waits, and nothing is copied until it is written.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -218,6 +218,13 @@
     at: float
 
 
+@dataclass(slots=True, frozen=True)
+class Stalled:
+    """No attempt can be recorded, so that none may begin; or they can be again."""
+
+    on: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Withdrawn:
     message: int
@@ -271,7 +278,7 @@
 
 Event = (
     Arrival | Resumed | Result | EndAnswered | ClassesChange | DestinationsGone | Remembered | Stopping
-    | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
+    | Stalled | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
 )  # fmt: skip
 
 
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -93,6 +93,7 @@
         self.told_until: Schedule[tuple[str, int]] = Schedule()  # by route: until then a told wait holds
         self.next_round: asyncio.TimerHandle | None = None
         self.last_round = -math.inf
+        self.stalled = False  # the module was told that no attempt can be recorded
         self.timers: dict[int, asyncio.TimerHandle] = {}  # by the module's token
         self.tasks: list[asyncio.Task] = []
 
@@ -115,8 +116,8 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.source.whole.wait(), FIRST_LIST)
                 await self.listing.done()
-        if not self.store.name(self.config.destinations):
-            raise OSError("the store takes no record: is the disk full?")
+        self.store.name(self.config.destinations)
+        self.watch_store()
         self.listing.in_slices = True  # from now on there is somebody to keep waiting
         for entry in list(self.store.entries.values()):
             self.resume(entry)
@@ -196,7 +197,17 @@
         for end in ends.values():
             self.on_end(end)
         self.carry_out(actions)
+        self.tidy()
+
+    def tidy(self) -> None:
         self.store.tidy(self.now)
+        self.watch_store()
+
+    def watch_store(self) -> None:
+        if self.store.stuck != self.stalled:
+            self.stalled = self.store.stuck
+            log.warning("no room to record attempts: none begins" if self.stalled else "attempts begin again")
+            self.push(i.Stalled(self.stalled))
 
     def settle_intake(self, handed: Intake, end: i.Refuse | i.Fail | None) -> None:
         """A message is taken on once it is in the store, and only then is its client told so."""
@@ -424,7 +435,10 @@
 
     def may_write(self, call: Call) -> bool | asyncio.Future[bool]:
         """The connection is up, and the first byte goes out now: unless something was told meanwhile."""
-        if not self.may_go(call) or not self.store.begin(call.entries, self.now, call.receiver.listed.zone):
+        if not self.may_go(call):
+            return False
+        if not self.store.begin(call.entries, self.now, call.receiver.listed.zone):
+            self.watch_store()
             return False
         if not self.store.machine:
             return True
@@ -549,7 +563,7 @@
                 log.error("message %s was not ended in time; given up", entry.id)
                 self.push(i.Withdrawn(entry.number))
                 self.conclude(entry, GIVEN_UP, 0)
-            self.store.tidy(self.now)  # also without rounds: what waits for room is tried again
+            self.tidy()  # also without rounds: what waits for room is tried again
             self.forget()
 
     def forget(self) -> None:
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -320,12 +320,12 @@
         self.barred: Schedule[int] = Schedule()  # destinations that are down, and may hold no slot for now
         self.now, self.wake, self.timer_at, self.acts = 0.0, math.inf, math.inf, []
         self.watching, self.ask_at, self.ask_wait = not settings.must_ask, 0.0, BASE
-        self.stop_at, self.forget_at = math.inf, 0.0
+        self.stop_at, self.forget_at, self.stalled = math.inf, 0.0, False
         self.closed: frozenset[int] = frozenset()  # destinations that nothing goes to any more
         self.on = {i.Arrival: self.on_arrival, i.Result: self.on_result, i.ListChange: self.on_list,
                    i.Resumed: self.on_resumed, i.Stopping: self.on_stopping,
                    i.ClassesChange: self.on_classes, i.DestinationsGone: self.on_gone,
-                   i.Remembered: self.on_remembered,
+                   i.Remembered: self.on_remembered, i.Stalled: self.on_stalled,
                    i.EndAnswered: lambda event: self.leave_line(event.key, event.message),
                    i.Withdrawn: lambda event: self.end(event.message)}  # fmt: skip
 
@@ -343,8 +343,9 @@
             self.watching = True
             self.acts.append(i.WatchList())
         self.wake = min(self.wake, math.inf if self.watching else self.ask_at)
-        self.dispatch()
-        self.wake = min(self.wake, self.timers.first())
+        if not self.stalled:
+            self.dispatch()
+            self.wake = min(self.wake, self.timers.first())
         if self.wake < self.timer_at:  # one timer is kept
             self.timer_at = max(self.wake, now + self.s.tick)
             self.acts.append(i.SetTimer(0, self.timer_at - now))
@@ -588,6 +589,10 @@
             route.risk = max(route.risk, SICK_SHARE if event.down else 0.0)
             self.touched[self.homes[event.endpoint]] = None
 
+    def on_stalled(self, event: i.Stalled) -> None:
+        """Guards messages against tries that can't begin: each would count, and the last one ends them."""
+        self.stalled = event.on
+
     def on_stopping(self, event: i.Stopping) -> None:
         self.stop_at = event.at
 
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -131,6 +131,7 @@
             "listen": write_address((model.resp.listen[0], self.clients.port)),
             "up_s": round(time.time() - self.started, 1),
             "held": len(node.store.entries), "out": len(node.out), "ends_waiting": len(node.sink.waiting),
+            "no_room": node.stalled,  # attempts can't be recorded, so none begins
             "clients": len(self.clients.connections),
             "amqp": self.front.status() if self.front is not None else None,
             "store_bytes": node.store.size, "disk_bytes": node.config.disk,
--- a/rainpier/store/files.py
+++ b/rainpier/store/files.py
@@ -2,6 +2,7 @@
 
 import fcntl
 import os
+from contextlib import suppress
 from pathlib import Path
 from typing import Protocol
 
@@ -91,8 +92,9 @@
             holder = os.pread(self.held, 32, 0).decode("ascii", "replace").strip() or "unknown"
             self.unlock()
             raise InUse(f"{str(self.path)!r} is used by process {holder}") from error
-        os.ftruncate(self.held, 0)
-        os.pwrite(self.held, b"%d\n" % os.getpid(), 0)
+        with suppress(OSError):  # on a full disk nobody learns who holds it, but it is held
+            os.ftruncate(self.held, 0)
+            os.pwrite(self.held, b"%d\n" % os.getpid(), 0)
 
     def unlock(self) -> None:
         if self.held >= 0:
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -44,6 +44,8 @@
 FRESH = ".new"  # ending of a file that is not in force yet
 IDS = 32  # ids that are over which a step of compaction looks at
 MOST_WAITING = 64  # records of one write that wait for room, put together again
+NO_ROOM = (errno.ENOSPC, errno.EDQUOT)  # others' files fill the disk: it passes
+PROBE = 0.1  # s between looks whether there is room again
 
 
 class StoreError(Exception):
@@ -87,6 +89,9 @@
         self.waiting: deque[Waiting] = deque()
         self.broken = self.short = False  # a write failed: the segment's end may be torn; the reserve is used
         self.failed = ""  # why nothing can be promised any more
+        self.stuck = False  # no attempt can be recorded, so that none may begin: see probe
+        self.probe_at = 0.0
+        self.renaming = False  # names wait for room: see copy
         self.since_step = 0  # bytes written since the last step of compaction
         self.unlinks: list[Segment] = []  # compacted ones, until their copies are sure
         self.reserved, self.reserve_at = False, 0.0
@@ -104,14 +109,17 @@
             self.files.lock()
             names = self.files.names()
             self.recover(names, now)
-            self.begin_log(now, upgraded=None)
+            self.clear(names)
+            self.adopt_reserve(names)
+            self.begin_log(now)
             self.take_over_journal(names, now)
         except r.Unreadable as error:
             raise StoreError(str(error)) from error
         except OSError as error:
             raise StoreError(f"the state folder can't be used: {error}") from error
-        self.clear(names)
-        self.keep_reserve()
+        self.drop_empty()
+        if not self.stuck:
+            self.keep_reserve()
 
     def fresh_state(self) -> State:
         most_routes = max(16, self.disk // ROUTES)
@@ -161,16 +169,36 @@
         self.roll(now, upgraded=mark, whole=True)
         log.info("store: took over a journal of %d messages", len(old.entries))
 
-    def begin_log(self, now: float, upgraded: tuple[int, int] | None) -> None:
-        """Never behind what an earlier process wrote: its last record may be torn."""
+    def begin_log(self, now: float) -> None:
+        """Never behind what an earlier process wrote: its last record may be torn.
+
+        With the reserve where nothing else helps. On a disk that is full even so the process starts all the
+        same: it knows what is owed, the first record that finds room begins the log, and until then nothing
+        happens that needs one.
+        """
         self.state.starts += 1
-        self.roll(now, upgraded)
+        for last in (not self.reserved, True):
+            try:
+                return self.roll(now)
+            except OSError as error:
+                if error.errno not in NO_ROOM:
+                    raise
+                self.complain(error)
+                if not last:
+                    self.release()
+        self.broken = self.short = self.stuck = True
+        log.error("store: no room to begin: %d messages wait until there is some", len(self.state.entries))
 
     def clear(self, names: Iterable[str]) -> None:
-        """What a process left unfinished."""
+        """What a process left unfinished goes first: it takes the room that a full disk lacks."""
         for name in names:
             if name.endswith(FRESH):
-                self.files.remove(name)
+                try:
+                    self.files.remove(name)
+                except OSError as error:  # it is in nobody's way: what is begun anew replaces it
+                    self.complain(error)
+
+    def drop_empty(self) -> None:
         for segment in list(self.segments):
             if segment.size == 0 and segment is not self.head:
                 self.drop(segment)
@@ -321,11 +349,10 @@
         size = r.FRAME.size * len(records)
         for _, data in records:
             size += len(data)
-        head = self.segments[-1]
         try:
-            if self.broken or head.size + size > self.segment_size and head.size > self.segment_size // 4:
+            if self.broken or self.filled(size):
                 self.roll(self.state.latest)
-                head = self.segments[-1]
+            head = self.segments[-1]
             room = self.disk if must else self.disk - self.segment_size // 2
             if self.used + size > room:
                 raise OSError(errno.ENOSPC, "the state folder's limit is reached")
@@ -340,6 +367,11 @@
         self.seq += len(records)
         return True
 
+    def filled(self, size: int) -> bool:
+        """So many bytes more are for the next segment; a large record does not leave one nearly empty."""
+        head = self.segments[-1].size
+        return head + size > self.segment_size and head > self.segment_size // 4
+
     def append(self, data: bytes) -> None:
         try:
             self.write_all(self.handle, data)
@@ -373,9 +405,15 @@
                 last.records += records
             else:
                 self.waiting.append(Waiting(list(records), done))
-        elif done is not None:
+            return
+        self.written(records)
+        if done is not None:
             self.sure(done)
 
+    def written(self, records: list[tuple[int, bytes]]) -> None:
+        if any(kind == Kind.NAMES for kind, _ in records):
+            self.state.names_home = self.head.number
+
     def write_must(self, records: list[tuple[int, bytes]]) -> bool:
         """With the reserve where nothing else helps: an end has to find room."""
         if self.write(records, must=True):
@@ -392,11 +430,26 @@
             if not self.write_must(first.records):
                 return
             self.waiting.popleft()
+            self.written(first.records)
             if first.done is not None:
                 self.sure(first.done)
+        self.renaming = self.renaming and bool(self.waiting)
+
+    def probe(self) -> None:
+        """While attempts can't be recorded: is there room again? The record says what is known anyway."""
+        if (now := time.monotonic()) >= self.probe_at:
+            self.probe_at = now + PROBE
+            self.stuck = not self.put([(Kind.NEXT, r.KEY.pack(self.state.next))])
 
     # --- the reserve ---
 
+    def adopt_reserve(self, names: list[str]) -> None:
+        """An earlier process's, as it lies: made anew, its room would be anybody's for a while."""
+        if RESERVE in names:
+            self.reserved = len(self.files.read(RESERVE)) == self.reserve_size
+            if not self.reserved:  # of another setting, or half made
+                self.files.remove(RESERVE)
+
     def keep_reserve(self) -> None:
         """Room that is ours already when the disk is full of others' files."""
         now = time.monotonic()
@@ -484,6 +537,7 @@
         entries = list(entries)
         data = r.BEGIN.pack(now, zone) + b"".join(r.BEGUN.pack(e.number, e.attempts) for e in entries)
         if not self.put([(Kind.BEGIN, data)]):
+            self.stuck = True
             return False
         self.state.latest = max(self.state.latest, now)
         for entry in entries:
@@ -533,14 +587,15 @@
             data = r.BIND.pack(number) + r.write_numbers([entry.number for entry in some])
             self.must([*fresh, (Kind.BIND, data)])
 
-    def name(self, names: dict[str, int]) -> bool:
-        """The destinations' names and numbers from now on; one record: no crash moves a message twice."""
-        if names == self.state.names:
-            return True
-        if not self.put([(Kind.NAMES, json.dumps(names).encode())]):
-            return False
-        self.state.rename(names, self.head.number)
-        return True
+    def name(self, names: dict[str, int]) -> None:
+        """The destinations' names and numbers from now on; one record: no crash moves a message twice.
+
+        Where it finds no room, messages follow their destinations all the same, and records wait behind it.
+        """
+        if names != self.state.names:
+            self.state.rename(names, self.state.names_home)
+            self.must([(Kind.NAMES, json.dumps(names).encode())])
+            self.renaming = self.renaming or bool(self.waiting)
 
     def wait(self, route: str, until: float) -> None:
         """A told wait, Unix ms. Worth a record, not worth holding anything up."""
@@ -562,6 +617,8 @@
         self.state.latest = max(self.state.latest, now)
         if self.waiting:
             self.retry()
+        if self.stuck:
+            self.probe()
         if self.short or not self.reserved:
             self.compact(now, STEP)
             self.keep_reserve()
@@ -600,6 +657,8 @@
         """One record of the oldest segment anew, at the log's end; its bytes, 0 where there is no room."""
         state = self.state
         records: list[tuple[int, bytes]] = []
+        if self.renaming and (victim.live or not victim.seen):
+            return 0  # guards against a message that counts under both numbers of its destination
         if victim.live:
             entry = state.entries[next(iter(victim.live))]
             number, records = self.class_of(entry)
@@ -641,7 +700,7 @@
     def unsynced(self) -> tuple[list[int], list[Segment]]:
         """Handles whose data has to be on the disk, and what may go once it is."""
         gone, self.unlinks = self.unlinks, []
-        return [*self.old, self.handle], gone
+        return [*self.old, *([self.handle] if self.handle >= 0 else [])], gone
 
     def synced(self, handles: list[int], gone: list[Segment]) -> None:
         """These are on the disk."""
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -48,15 +48,16 @@
 class Sidecar:
     """One process; its port is read from its log. It is killed with the test."""
 
-    def __init__(self, folder, written):
+    def __init__(self, folder, written, module="rainpier"):
+        self.module = module
         self.folder, self.file, self.log = folder, folder / "app.toml", b""
         self.file.write_text(written)
         self.socket = folder / "state" / "control.sock"
 
     async def __aenter__(self):
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "rainpier", "run", "-c", str(self.file),
-            cwd=self.folder, env=os.environ | {"PYTHONPATH": str(ROOT)}, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-B", "-m", self.module, "run", "-c", str(self.file),
+            cwd=self.folder, env=os.environ | {"PYTHONPATH": f"{ROOT}:{ROOT / 'tests'}"}, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         found = await self.logged(rb"serves on 127\.0\.0\.1:(\d+)")
         self.port = int(found[1])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -384,3 +384,13 @@
 def test_impossible_settings_are_named(name, value):
     with pytest.raises(ValueError, match=name):
         i.Settings(**{name: value})
+
+
+def test_while_no_attempt_can_be_recorded_none_begins_and_none_counts():
+    rig = Rig()
+    rig.do(i.Stalled(True))
+    assert not sends(rig.arrive(1)) and not sends(rig.arrive(2, left=700.0))
+    seen = rig.run(6000.0)
+    assert [type(a) for _, a in seen if not isinstance(a, i.SetTimer)] == [i.Refuse]  # the one whose time is up
+    assert len(seen) < 10  # no round after round for what can't be sent
+    assert sends(rig.do(i.Stalled(False))) == [1] and rig.sender.live[1].attempts == 1
