--- a/tests/store/test_full.py
+++ b/tests/store/test_full.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import os
 import random
 
 import pytest
@@ -9,6 +10,7 @@
 from sidecars import Sidecar, text
 from standins.disk import Crash, Disk
 
+from rainpier.store.files import Folder, InUse
 from rainpier.store.recovery import recover
 from rainpier.store.store import Store, StoreError
 
@@ -233,3 +235,21 @@
                 assert [name for name in ran if name[0] == "k"] == ["k0", "k3", "k6"]
 
     drive(story())
+
+
+def test_the_lock_holds_where_nobody_can_be_told_who_has_it(tmp_path, monkeypatch):
+    def full(*_):
+        raise OSError(errno.ENOSPC, "no space left")
+
+    monkeypatch.setattr(os, "pwrite", full)
+    Folder(tmp_path).lock()
+    with pytest.raises(InUse):
+        Folder(tmp_path).lock()
+
+
+def test_an_error_that_does_not_pass_is_told(killed):
+    disk = left(killed)
+    disk.fail_with = errno.EIO
+    disk.fail_at = frozenset(range(8, 60))
+    with pytest.raises(StoreError, match="can't be used"):
+        Store(disk, SMALL, killed.now)
