Record decisions, and tell from the record where messages lost their worth

Change: RAINPIER_RECORD makes a sender write each round's time and events; rainpier ledger decides them again and adds up, by class, tenant, destination, end and time, what each message lost and what held it up: its call, its key, a told wait, an outage, a cold return, its route's limit, slots. Nothing of it is loaded unless asked for.

--- /dev/null
+++ b/rainpier/cli/ledger.py
@@ -0,0 +1,77 @@
+"""`rainpier ledger`: where the messages of recorded senders lost their worth."""
+
+from collections import Counter
+from pathlib import Path
+
+import click
+
+from ..interface import Settings
+from ..observe.ledger import Account, Ledger
+from ..observe.recorder import RecordError, replay
+
+TITLES = {"end": "ended", "cls": "class", "tenant": "tenant", "destination": "destination"}
+
+
+def read(record: Path) -> Ledger | None:
+    """The whole record; None where it has no round. RecordError."""
+    ledger: Ledger | None = None
+    for now, events, sender, actions in replay(record):
+        if ledger is None:
+            ledger = Ledger(sender.s)
+        ledger.round(now, events, sender, actions)
+    return ledger
+
+
+def named(settings: Settings, key: str, value: object) -> str:
+    if key == "cls" and isinstance(value, int):
+        return settings.classes[value].name
+    if key == "tenant" and isinstance(value, int):
+        return settings.tenants[value].name if 0 <= value < len(settings.tenants) else "-"
+    return str(value)
+
+
+def table(title: str, rows: list[tuple[str, Counter[str]]], reasons: list[str]) -> None:
+    width = max([len(title), *(len(name) for name, _ in rows)])
+    click.echo(f"\n{title:<{width}}  " + " ".join(f"{name:>11}" for name in ["worth lost", *reasons]))
+    for name, sums in rows:
+        cells = " ".join(f"{sums[reason]:11.1f}" for reason in reasons)
+        click.echo(f"{name:<{width}}  {sums.total():11.1f} {cells}")
+
+
+def spans(accounts: list[Account], begin: float, width: float) -> list[tuple[str, Counter[str]]]:
+    """Worth lost by end, for each span of arrivals."""
+    found: dict[int, Counter[str]] = {}
+    for account in accounts:
+        found.setdefault(int((account.arrived - begin) // width), Counter())[str(account.end)] += account.lost
+    return [(f"{n * width / 1000:.0f} s", sums) for n, sums in sorted(found.items())]
+
+
+@click.command("ledger")
+@click.argument(
+    "records", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path)
+)
+@click.option("--span", default=5.0, show_default=True, help="Width of a span of arrivals, in seconds.")
+@click.option("--most", default=12, show_default=True, help="Destinations that are shown.")
+def command(records: tuple[Path, ...], span: float, most: int) -> None:
+    """Tell where messages lost their worth, and why, from senders' records (RAINPIER_RECORD)."""
+    try:
+        ledgers = [ledger for record in records if (ledger := read(record)) is not None]
+    except RecordError as error:
+        raise click.ClickException(str(error)) from error
+    if not ledgers:
+        raise click.ClickException("no round in any of these records")
+    settings, total = ledgers[0].s, Counter[str]()
+    sums: dict[str, dict[object, Counter[str]]] = {}
+    for ledger in ledgers:
+        for key in TITLES:
+            for value, lost in ledger.by(key).items():
+                sums.setdefault(key, {}).setdefault(value, Counter()).update(lost)
+        total.update(ledger.ends())
+    click.echo(", ".join(f"{count} {end}" for end, count in total.most_common()))
+    reasons = [name for name, _ in sum(sums.get("end", {}).values(), Counter[str]()).most_common()]
+    for key, title in TITLES.items():
+        rows = [(named(settings, key, value), lost) for value, lost in sums.get(key, {}).items()]
+        table(title, sorted(rows, key=lambda row: -row[1].total())[:most], reasons)
+    accounts = [account for ledger in ledgers for account in ledger.accounts.values()]
+    begin = min(account.arrived for account in accounts)
+    table("handed in", spans(accounts, begin, span * 1000), ["in time", "late", "refused", "failed", "open"])
--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -1,4 +1,4 @@
-"""The command line: rainpier run | init | check | show | status | demo | reference."""
+"""The command line: rainpier run | init | check | show | status | ledger | demo | reference."""
 
 import asyncio
 import json
@@ -22,6 +22,7 @@
 from ..config.types import Address, Choice, Text, Wrong, near
 from ..config.units import UnitError, read_duration, read_rate, read_size
 from ..config.watch import Unreadable, read_text
+from . import ledger
 
 FILE = click.Path(path_type=Path)
 T = TypeVar("T")
@@ -34,6 +35,9 @@
     """Takes messages from programs and delivers each one exactly as far as its class permits."""
 
 
+main.add_command(ledger.command)
+
+
 def fail(text: str, code: int) -> None:
     click.echo(f"rainpier: {text}", err=True)
     sys.exit(code)
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -3,12 +3,15 @@
 import asyncio
 import logging
 import math
+import os
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from itertools import islice
+from pathlib import Path
+from typing import cast
 
 from .. import interface as i
 from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
@@ -49,6 +52,15 @@
     return Brokers(settings, config.brokers)
 
 
+def recorded(sender: Sender) -> Sender:
+    """The sender, with its rounds recorded where RAINPIER_RECORD names a folder; loaded only then."""
+    if not (folder := os.environ.get("RAINPIER_RECORD")):
+        return sender
+    from ..observe.recorder import Recorder
+
+    return cast(Sender, Recorder(sender, Path(folder)))
+
+
 @dataclass(slots=True, eq=False)
 class Intake:
     """A message handed in, until the round that takes it on or refuses it."""
@@ -65,7 +77,7 @@
         self.loop = asyncio.get_running_loop()
         self.s = replace(config.settings, ends_answered=True)
         self.epoch = time.time() * 1000 - self.loop.time() * 1000  # one clock for all processes
-        self.sender = Sender(self.s, config.seed)
+        self.sender = recorded(Sender(self.s, config.seed))
         self.classes = {cls.name: number for number, cls in enumerate(self.s.classes)}
         self.tenants = {tenant.name: number for number, tenant in enumerate(self.s.tenants)}
         self.kinds = {kind.name: number for number, kind in enumerate(self.s.kinds)}
--- /dev/null
+++ b/tests/observe/test_ledger.py
@@ -0,0 +1,145 @@
+"""Recorded rounds give the same decisions again, and the ledger names what held each message up."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+from peers import Agent, Client, HttpPeer, drive, host, put, until
+from test_node import sender
+from test_policy import ORDERED, SAFE, T0, UNSAFE, Rig
+from test_same import World
+
+from rainpier import interface as i
+from rainpier.cli.main import main
+from rainpier.observe import blame
+from rainpier.observe.ledger import End, Ledger
+from rainpier.observe.recorder import EVENTS, Recorder, RecordError, decode, encode, replay
+
+SAMPLES = [
+    i.Arrival(1, 0, 2, 5e8, 7, -1, True), i.Result(1, 0, 3, i.Outcome.FULL, 1.5, False, 20.0, (0.5, 2.0), True),
+    i.Resumed(i.Arrival(1, 0, 2, 5e8), 2, effect=i.Effect.KEYED, group="zone", repeat_window=3.0), i.EndAnswered(1, 2),
+    i.ClassesChange((SAFE, UNSAFE)), i.DestinationsGone(frozenset({3, 1})), i.Remembered(1, 2.0, True), i.Stopping(5.0),
+    i.Stalled(True), i.Withdrawn(4), i.ListChange(i.ListKind.DELTA, (i.Listed(1, 2, rate=3.5), i.Listed(2, 2))),
+    i.ProbeResult(1, i.Outcome.OK, 2.0, (1.0,)), i.StreamOpened(1, 0, 2, 3.0), i.PeerNote(1, b""), i.TimerDue(0),
+]  # fmt: skip
+
+
+def test_each_kind_of_event_comes_back_as_it_was():
+    assert {type(event) for event in SAMPLES} == set(EVENTS.values())
+    for event in SAMPLES[:-2]:
+        assert decode(type(event), json.loads(json.dumps(encode(event)))) == event
+
+
+def test_a_record_gives_the_same_decisions_again_and_says_where_it_does_not(tmp_path):
+    world = World(5)
+    world.sender = Recorder(world.sender, tmp_path)
+    for _ in range(600):
+        world.now += world.rng.choice([1.0, 5.0, 40.0])
+        events = world.events(3, 0.4)
+        for action in world.sender.handle(world.now, events):
+            if isinstance(action, i.Send):
+                tries = world.tries[action.message] = world.tries.get(action.message, -1) + 1
+                world.out[action.message, tries] = (action.endpoint, world.now)
+    (path,) = tmp_path.iterdir()
+    assert len(list(replay(path))) == 600  # also as a killed process leaves it: nothing was closed
+    rows = path.read_text().splitlines(keepends=True)
+    path.write_text("".join(rows[:300]) + rows[300][:20])
+    assert len(list(replay(path))) == 299
+    later = json.loads(rows[200])
+    path.write_text("".join([*rows[:200], json.dumps([later[0] + 1e5, *later[1:]]) + "\n", *rows[201:]]))
+    with pytest.raises(RecordError, match=r"jsonl:20\d: decided otherwise"):
+        list(replay(path))
+    path.write_text("".join([*rows[:200], '["odd"]\n']))
+    with pytest.raises(RecordError, match="jsonl:201: can't be read"):
+        list(replay(path))
+
+
+class Followed(Rig):
+    """A rig whose rounds go into a ledger."""
+
+    def __init__(self, *args, **settings):
+        self.ledger = None
+        super().__init__(*args, **settings)
+        self.ledger = Ledger(self.sender.s)
+
+    def do(self, *events, after=0.0):
+        actions = super().do(*events, after=after)
+        if self.ledger is not None:
+            self.ledger.round(self.now, events, self.sender, actions)
+        return actions
+
+    def main_reason(self, message):
+        return self.ledger.accounts[message].spans.most_common(1)[0][0]
+
+
+def test_each_thing_that_holds_a_message_up_is_named():
+    rig = Followed(endpoints=((7, 1), (8, 2), (9, 3)), slots=4)
+    rig.arrive(1)  # out, and never answered in this test
+    rig.arrive(2, cls=3, key=5)
+    rig.arrive(3, cls=3, key=5)  # behind it
+    rig.arrive(4, dest=6)
+    rig.arrive(5, dest=2)
+    rig.result(5, i.Outcome.FULL, wait=900.0)
+    rig.arrive(6, dest=2)
+    for n in range(3):
+        rig.arrive(10 + n, dest=3)
+    rig.run(700.0)
+    told = {n: rig.main_reason(n) for n in (1, 3, 4, 6)}
+    assert told == {1: blame.CALL, 3: blame.KEY, 4: blame.NOWHERE, 6: blame.TOLD}
+    rig.run(400.0)
+    assert rig.sender.free == 0
+    waiting = [n for n in (5, 6, 10, 11, 12) if not rig.sender.live[n].out]
+    for n in waiting:
+        assert blame.reason(rig.sender, rig.sender.live[n], rig.now) in (blame.SLOTS, blame.WINDOW)
+
+
+def test_an_outage_a_return_and_a_pause_are_told_apart():
+    rig = Followed()
+    for n in range(1, 6):
+        rig.arrive(n)
+    while not rig.sender.routes[1][0].down:
+        rig.resolve(i.Outcome.CONNECT_FAILED)
+    rig.arrive(20)
+    assert blame.of_route(rig.sender.routes[1][0], rig.now) == blame.OUTAGE
+    while rig.sender.routes[1][0].down:
+        rig.resolve(i.Outcome.OK)
+    for n in range(30, 36):
+        rig.arrive(n)
+    rig.run(50.0)
+    assert blame.RAMP in {rig.main_reason(n) for n in range(30, 36)}
+
+
+def test_worth_lost_is_what_lateness_and_ends_cost():
+    rig = Followed()
+    rig.arrive(1)
+    rig.result(1, i.Outcome.OK, after=100.0)
+    rig.arrive(2)
+    rig.result(2, i.Outcome.OK, after=11_000.0)  # half way from aim to deadline
+    rig.arrive(3, cls=2, left=500.0)
+    rig.result(3, i.Outcome.TIMEOUT, after=400.0)
+    accounts = rig.ledger.accounts
+    assert [accounts[n].end for n in (1, 2, 3)] == [End.IN_TIME, End.LATE, End.FAILED]
+    assert accounts[1].lost == 0 and accounts[3].lost == UNSAFE.worth
+    assert accounts[2].lost == pytest.approx((1 - SAFE.late_worth) / 2)
+    assert sum(lost for _, _, lost in rig.ledger.losses()) == pytest.approx(accounts[2].lost + accounts[3].lost)
+    assert rig.ledger.by("cls")[2].total() == UNSAFE.worth and rig.now > T0 and ORDERED.in_order
+
+
+def test_a_running_sender_leaves_a_record_that_the_command_line_reads(tmp_path, monkeypatch):
+    monkeypatch.setenv("RAINPIER_RECORD", str(tmp_path / "rec"))
+
+    async def story():
+        async with HttpPeer(lambda request, body: (500, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                assert await client.ask(put("charge", cls="unsafe")) == "OK"
+                await agent.notice()
+                await until(lambda: not node.store.entries)
+
+    drive(story())
+    (record,) = (tmp_path / "rec").iterdir()
+    told = CliRunner().invoke(main, ["ledger", str(record)])
+    assert told.exit_code == 0 and "1 failed" in told.output and "unsafe" in told.output
+    record.write_text("no record\n")
+    told = CliRunner().invoke(main, ["ledger", str(record)])
+    assert told.exit_code == 1 and f"{record}:1: can't be read" in told.output
