Let fewer messages travel in one call while calls break, and more again as they pass

In its bad ten seconds answers get lost in part: of its calls of nine messages or more 0 of 22 passed, of single ones 7 of 12 (elsewhere four in five). A call that breaks counts as lost for all that it carries, so that charges were given up by the twenty, the route counted as down and cold, and the return from that held back 720 messages. Ruled out: slots (10 of 20 free), the pace (6 calls a second before, during and after).

Change: Route.fit halves what travels in one call when one that carries several breaks, and doubles it when one of that size passes. An answer of 500 or a refusal says nothing of size.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -98,9 +98,9 @@
     """What shares one limit, pace and outage: a destination, or one endpoint where routes are apart."""
 
     __slots__ = (
-        "base", "best", "cold_at", "counted_at", "cut_at", "endpoints", "failing", "fails", "first_full",
-        "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace", "raised_at", "risk", "s",
-        "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at", "wait_until", "window",
+        "base", "batch", "best", "cold_at", "counted_at", "cut_at", "endpoints", "failing", "fails",
+        "first_full", "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace", "raised_at",
+        "risk", "s", "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at", "wait_until", "window",
     )  # fmt: skip
 
     def __init__(self, settings: i.Settings) -> None:
@@ -119,6 +119,7 @@
         self.failing, self.risk = 0.0, 0.0  # share of recent calls that failed; that failed and may have run
         self.trial_wait, self.trial_at, self.cold_at = BASE, 0.0, -math.inf  # cold_at: last sign of an outage
         self.ok_at = -math.inf  # last success
+        self.batch = math.inf  # messages that may travel in one call
 
     @property
     def down(self) -> bool:
@@ -263,6 +264,15 @@
         if self.down or sick and not alive:
             self.cold_at = now
 
+    def fit(self, size: int, outcome: Outcome) -> None:
+        """Halve what travels in one call when one breaks, double it when one of that size passes."""
+        # Guards against answers that get lost in part: the more messages a call has, the surer it breaks, and
+        # all of them count as lost. Calls of twenty never passed where two in three of single ones did.
+        if outcome is Outcome.RESET and size > 1:
+            self.batch = min(self.batch, size / 2)
+        elif outcome is Outcome.OK and size + 1 > self.batch:
+            self.batch *= 2
+
     def narrow(self) -> None:
         self.window = max(1.0, min(self.window - 1, self.s.slots / 2))
 
@@ -700,6 +710,7 @@
         """Let one call's outcome, whatever its size, count for its route and endpoint."""
         endpoint, route, message = call.endpoint, call.endpoint.route, self.live.get(event.message)
         was, kind = route.down, endpoint.info.kind
+        route.fit(call.size, event.outcome)
         self.refusals[kind] += GAIN * ((event.outcome is Outcome.FULL) - self.refusals[kind])
         resets, reset = self.fresh_resets if event.fresh else self.resets, event.outcome is Outcome.RESET
         resets[kind] += GAIN * (reset - resets[kind])
@@ -827,7 +838,7 @@
         if self.stop_at < math.inf:  # guards against calls cut off by the process's end: they may have run
             left = self.stop_at - self.now
             fits = {n for n in range(len(self.usual)) if STOP_CALLS * self.usual_call(n, route) <= left}
-        size = 1 if route.down else self.s.kinds[endpoint.info.kind].batch
+        size = 1 if route.down else int(min(route.batch, self.s.kinds[endpoint.info.kind].batch))
         return backlog.best(self.now, size, endpoint.info.zone, trial, doubtful, self.s.late_halves, fits)
 
     def send(self, endpoint: Endpoint, batch: list[Message]) -> None:
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -119,6 +119,13 @@
         self.failing, self.risk = 0.0, 0.0  # share of recent calls that failed; that failed and may have run
         self.trial_wait, self.trial_at, self.cold_at = BASE, 0.0, -math.inf  # cold_at: last sign of an outage
         self.ok_at = -math.inf  # last success
+        self.batch = math.inf  # messages that may travel in one call
+
+    def fit(self, size: int, outcome: Outcome) -> None:
+        if outcome is Outcome.RESET and size > 1:
+            self.batch = min(self.batch, size / 2)
+        elif outcome is Outcome.OK and size + 1 > self.batch:
+            self.batch *= 2
 
     @property
     def down(self) -> bool:
@@ -481,6 +488,7 @@
         """Let one call's outcome, whatever its size, count for its route and endpoint."""
         endpoint, route, message = call.endpoint, call.endpoint.route, self.live.get(event.message)
         was, kind = route.down, endpoint.info.kind
+        route.fit(call.size, event.outcome)
         self.refusals[kind] += GAIN * ((event.outcome is Outcome.FULL) - self.refusals[kind])
         resets, reset = self.fresh_resets if event.fresh else self.resets, event.outcome is Outcome.RESET
         resets[kind] += GAIN * (reset - resets[kind])
@@ -581,7 +589,7 @@
             elif not (m.key and self.lines[m.key][0] != m.id or self.now > until or elsewhere):
                 first = m.cls.effect if trial else 0  # trials are best made with what may be repeated
                 able.append((first, -m.value(self.now, self.s.late_halves), m.aim_at, m.id, m))
-        size = 1 if route.down else self.s.kinds[endpoint.info.kind].batch
+        size = 1 if route.down else int(min(route.batch, self.s.kinds[endpoint.info.kind].batch))
         return [a[-1] for a in heapq.nsmallest(size, able)]
 
     def send(self, endpoint: Endpoint, batch: list[Message]) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -394,3 +394,24 @@
     assert [type(a) for _, a in seen if not isinstance(a, i.SetTimer)] == [i.Refuse]  # the one whose time is up
     assert len(seen) < 10  # no round after round for what can't be sent
     assert sends(rig.do(i.Stalled(False))) == [1] and rig.sender.live[1].attempts == 1
+
+
+def test_calls_that_break_carry_fewer_messages_until_they_pass():
+    """Day wide of the first deployment: calls of twenty never passed where most of the single ones did."""
+    rig = Rig(kinds=(i.Kind("bulk", batch=16),), slots=2)
+    rig.do(*(i.Arrival(n, 0, 1, rig.now + 20000.0) for n in range(300)))
+
+    def call(outcome):
+        """The size of the next call, which ends so."""
+        for _ in range(500):
+            if rig.sender.out:
+                break
+            rig.do(after=20.0)
+        out = next(iter(rig.sender.out.values()))
+        rig.do(*(i.Result(m, tries, 7, outcome, 20.0, outcome is i.Outcome.OK) for m, tries in out.parts), after=20.0)
+        return out.size
+
+    assert [call(i.Outcome.OK) for _ in range(3)] == [16, 16, 16]
+    assert [call(i.Outcome.RESET) for _ in range(2)] == [16, 8]
+    assert [call(i.Outcome.OK) for _ in range(4)] == [4, 8, 16, 16]
+    assert [call(i.Outcome.ERROR), call(i.Outcome.OK)] == [16, 16]  # answered: its size was no harm
