Blame a broken call's size before its destination; tell a full disk in the status

Change: a call of several messages that breaks makes the next ones smaller, and counts neither towards an outage nor against the window; single ones do as before. What may have run still counts as risk.

--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -111,6 +111,8 @@
         f"messages: {told['held']} held, {told['out']} of them out; {told['ends_waiting']} ends untold; "
         f"store {told['store_bytes']} of {told['disk_bytes']} bytes; {told['clients']} clients",
     ]
+    if told["no_room"]:
+        rows.append("no room on the disk to record attempts: nothing is taken on or sent until there is")
     for name, dest in told["destinations"].items():
         listed = ", ".join(f"{e} {state}" for e, state in dest["endpoints"].items())
         rows.append(f"destination {name} ({dest['number']}): {dest['held']} held; {listed}")
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -99,8 +99,9 @@
 
     __slots__ = (
         "base", "batch", "best", "cold_at", "counted_at", "cut_at", "endpoints", "failing", "fails",
-        "first_full", "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace", "raised_at",
-        "risk", "s", "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at", "wait_until", "window",
+        "first_full", "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace",
+        "raised_at", "risk", "s", "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at",
+        "wait_until", "window",
     )  # fmt: skip
 
     def __init__(self, settings: i.Settings) -> None:
@@ -273,6 +274,11 @@
         elif outcome is Outcome.OK and size + 1 > self.batch:
             self.batch *= 2
 
+    def on_broken(self) -> None:
+        """A call that carried several broke: its size is the first to blame, and was changed (fit)."""
+        # Guards against an outage seen, and a slow return from it, where only large answers get lost.
+        self.risk += GAIN * (1 - self.risk)
+
     def narrow(self) -> None:
         self.window = max(1.0, min(self.window - 1, self.s.slots / 2))
 
@@ -745,6 +751,9 @@
         elif event.outcome is Outcome.CANCELLED and call.sent < route.ok_at:
             endpoint.on_fail(self.now, event.elapsed)
             route.narrow()  # slow, but others were answered meanwhile
+        elif reset and call.size > 1:
+            endpoint.on_fail(self.now, event.elapsed)
+            route.on_broken()
         else:
             endpoint.on_fail(self.now, event.elapsed)
             route.on_fail(self.now, event.outcome)
