Let a disk that takes no record stop no delivery

Cause: read once more, the recorder promised that deliveries go on where the disk refuses it, but a folder that can't be made stopped the start, and closing a file with unwritten lines raised out of the round.

Change: both are told in the log, and the sender goes on without a record. Nothing changes unless RAINPIER_RECORD is set.

Measured: the new test, on a full device and an impossible folder.

--- a/rainpier/observe/recorder.py
+++ b/rainpier/observe/recorder.py
@@ -7,12 +7,14 @@
 """
 
 import json
+import logging
 import os
 import time
 import types
 import typing
 import zlib
 from collections.abc import Iterator, Sequence
+from contextlib import suppress
 from dataclasses import fields, is_dataclass
 from enum import IntEnum
 from functools import cache
@@ -21,6 +23,7 @@
 from .. import interface as i
 from ..policy import Sender
 
+log = logging.getLogger(__name__)
 MOST = 256 << 20  # bytes of one record; nothing more is written then
 EVENTS = {cls.__name__: cls for cls in typing.get_args(i.Event)}
 
@@ -68,10 +71,14 @@
     """In a sender's place: hands everything on to it, and writes it down."""
 
     def __init__(self, sender: Sender, folder: Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
         self.sender, self.size = sender, 0
+        self.file: typing.TextIO | None = None
         name = f"{time.strftime('%Y%m%dT%H%M%S', time.gmtime())}-{os.getpid()}.jsonl"
-        self.file = (folder / name).open("w", buffering=1)  # by line, for processes that are killed
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.file = (folder / name).open("w", buffering=1)  # by line, for processes that are killed
+        except OSError as error:
+            log.error("no record of decisions: %s", error)
         self.write([encode(sender.s), sender.seed])
 
     def __getattr__(self, name: str) -> object:
@@ -84,16 +91,19 @@
 
     def write(self, row: list) -> None:
         """Guards the sender: a record that can't go on ends, and deliveries do not."""
-        if self.file.closed:
+        if self.file is None:
             return
         line = json.dumps(row, separators=(",", ":")) + "\n"
         self.size += len(line)
         try:
             self.file.write(line)
-            if self.size > MOST:
-                self.file.close()
-        except OSError:
+            if self.size <= MOST:
+                return
+        except OSError as error:
+            log.error("the record of decisions ends: %s", error)
+        with suppress(OSError):  # what is left in its buffer finds no room either
             self.file.close()
+        self.file = None
 
 
 def replay(path: Path) -> Iterator[tuple[float, list[i.Event], Sender, list[i.Action]]]:
--- a/tests/observe/test_ledger.py
+++ b/tests/observe/test_ledger.py
@@ -1,6 +1,7 @@
 """Recorded rounds give the same decisions again, and the ledger names what held each message up."""
 
 import json
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
@@ -54,6 +55,16 @@
         list(replay(path))
 
 
+def test_a_disk_that_takes_no_record_stops_no_delivery(tmp_path):
+    (tmp_path / "file").touch()
+    world = World(5)
+    for folder in (Path("/dev/full"), tmp_path / "file" / "rec"):
+        assert Recorder(world.sender, folder).handle(world.now, []) is not None
+    recorder = Recorder(world.sender, tmp_path)
+    recorder.file = open("/dev/full", "w", buffering=1)  # noqa: SIM115
+    assert recorder.handle(world.now, []) is not None and recorder.file is None
+
+
 class Followed(Rig):
     """A rig whose rounds go into a ledger."""
 
