Let one of many return to where it was refused, and grow its ramp while calls pass

Change: a cut remembers where it was refused, and the pace is back at 0.9 of that in two seconds; what the list vouches for is given back up to four times slower, doubled by each cut and halved by four calls in a row; growth divides by the spread to the power of 1.3 (2 before); a sender that waits for its turns is not held to twice what it sent; a ramp grows by a tenth with each call that passes and halves at a refusal; new connections that come up again end what was taken for a full table. Fleets of up to four act as before.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -27,6 +27,10 @@
 FLEET = 4  # senders up to which each may act as if alone; beyond, floors fall with the root of their number
 CUT = 0.8  # of the pace is kept after a refusal above the limit
 RAISE = 0.04  # growth of the pace a second, for each second without a refusal: slow near a limit, then bolder
+SPARING = 1.3  # power of the spread (Route) by which many senders grow more slowly than few
+KNEE = 0.9  # of the pace at which one of many was refused: it is back there in RETURN
+DOUBTED = 4.0  # times slower at most is what the list vouches for given back: doubled by each cut, and
+PASSED = 4  # calls in a row, none refused, halve that
 RETURN = 2000.0  # ms from the last refusal in which the pace is back at:
 VOUCHED = 0.5  # of the least that the list says is this sender's share; ordinary limits do not lie below it
 FAILS = 3  # failures in a row, none succeeding, that make a route sick
@@ -36,10 +40,12 @@
 SICK_SHARE = 0.5  # share of recent calls failing that makes a route sick
 EARLY = 0.001  # ms: guards against a moment missed by rounding
 RAMP_MARGIN = 0.9  # of what the rule on returning destinations would allow this sender by its own rate
+GAIN_MOST = 3.0  # times more than that, or less, goes one of many, as calls pass there or are refused
 QUOTA_SPAN = 2.0  # s of a tenant's quota that may come at once
 CROWD = 2000.0  # ms; longest wait after a connection too many, about a call's time in a table's turn
 STALE = 0.4  # share of a kind's calls reset on kept connections, above which idle connections are not trusted
 WORN = 10000.0  # ms for which they are not; then they are tried again
+FEW_UNMADE = 0.04  # share of a kind's new connections that fail or are refused, below which tables have room
 IDLE = 30000.0  # ms after which what was learnt of a route without calls, or of connections, is dropped
 STOP_CALLS = 3.0  # usual calls that must fit before the process ends: most calls take less
 EVICT_BACK = 1000.0  # ms after which one that was evicted may come again: a full store empties over seconds
@@ -100,10 +106,10 @@
     """What shares one limit, pace and outage: a destination, or one endpoint where routes are apart."""
 
     __slots__ = (
-        "base", "batch", "best", "cold_at", "counted_at", "crowd_wait", "cut_at", "endpoints", "failing",
-        "fails", "first_full", "flight", "floor", "fulls", "known", "latency", "next_at", "ok_at", "pace",
-        "raised_at", "risk", "s", "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at",
-        "wait_until", "window",
+        "base", "batch", "best", "cold_at", "counted_at", "crowd_wait", "cut_at", "doubt", "endpoints",
+        "failing", "fails", "first_full", "flight", "floor", "fulls", "gain", "knee", "known", "latency",
+        "next_at", "ok_at", "pace", "passed", "pressed", "raised_at", "risk", "s", "sent", "sparse", "spread",
+        "trial_at", "trial_wait", "used_at", "wait_until", "window",
     )  # fmt: skip
 
     def __init__(self, settings: i.Settings) -> None:
@@ -124,6 +130,10 @@
         self.trial_wait, self.trial_at, self.cold_at = BASE, 0.0, -math.inf  # cold_at: last sign of an outage
         self.ok_at = -math.inf  # last success
         self.batch = math.inf  # messages that may travel in one call
+        self.passed, self.pressed = 0, False  # calls in a row, none refused; the last one waited for its turn
+        self.doubt = 1.0  # of what the list vouches for: it is given back that much slower
+        self.knee = 0.0  # calls a second that are likely to pass, by the last refusal; 0: none met
+        self.gain = 1.0  # times the ramp that may be sent, by what passed and was refused since the return
 
     @property
     def down(self) -> bool:
@@ -171,12 +181,13 @@
 
     def ramp(self, now: float) -> float:
         """Calls a second while down and cold."""
-        # Guards the return from an outage: what each may send adds up to no more than the rule's multiple.
+        # Guards the return from an outage: what each may send adds up to no more than the rule's multiple. By
+        # a list that is far too low that is little: it grows while all calls pass, as no other of many tells.
         warm = 0.0 if self.down else (now - self.cold_at) / self.s.cold
         share = self.s.cold_from + (1 - self.s.cold_from) * warm
         own = max(self.base, self.vouched)
         least = self.floor / self.spread if self.listed else self.floor
-        return max(own * self.s.overload_factor * share * RAMP_MARGIN, least)
+        return max(own * self.s.overload_factor * share * RAMP_MARGIN * self.gain, least)
 
     def ready_at(self, now: float, room: int) -> float:
         """When the next call may go; inf: not before some outcome."""
@@ -196,7 +207,7 @@
 
     def ramped_at(self) -> float:
         """When the gap of the ramp since the last call has passed: gap and ramp meet."""
-        own = max(self.base, self.vouched) * self.s.overload_factor * RAMP_MARGIN / 1000
+        own = max(self.base, self.vouched) * self.s.overload_factor * RAMP_MARGIN * self.gain / 1000
         least = self.floor / self.spread if self.listed else self.floor
         used = self.used_at - self.cold_at
         rise, begin = own * (1 - self.s.cold_from) / self.s.cold, own * self.s.cold_from
@@ -213,7 +224,7 @@
             # Of many senders none goes far beyond its share until it has seen that there is room: all would.
             self.pace, self.cut_at, self.raised_at = max(self.listed, self.floor), now, now
         self.count(now, 1)
-        self.flight, self.used_at = self.flight + 1, now
+        self.flight, self.used_at, self.pressed = self.flight + 1, now, self.next_at > now
         self.next_at = max(self.next_at, now) + 1000 / self.limit
 
     def on_ok(self, now: float, relative: float) -> None:
@@ -233,24 +244,35 @@
         near = self.latency <= NEAR * self.best
         most, step = (self.s.slots * 3 // 4, 1.0) if near else (self.s.slots / 2, -1.0)
         self.window = max(1.0, min(self.window + step / self.window, most))
+        self.passed += 1
+        if self.passed >= PASSED:
+            self.passed, self.doubt = 0, max(1.0, self.doubt / 2)
+        if self.sparse and self.is_cold(now):
+            self.gain = min(self.gain * (1 + GAIN * self.sparse), GAIN_MOST)
         self.raise_pace(now)
         self.next_at = min(self.next_at, now + self.turn + BURST)  # refused no longer
 
     def raise_pace(self, now: float) -> None:
         """A success: far below this sender's share evenly and in seconds; else slowly, then bolder."""
         grown = max(0.0, now - self.cut_at) ** 2 - max(0.0, self.raised_at - self.cut_at) ** 2
-        grown = min(self.pace * math.exp(min(1.0, RAISE / self.spread**2 * grown / 2e6)), 2 * self.sent)
+        grown = self.pace * math.exp(min(1.0, RAISE / self.spread**SPARING * grown / 2e6))
+        if not (self.sparse and self.pressed):  # one that waits for its turns has sent what it could
+            grown = min(grown, 2 * self.sent)
         # Guards against a pace that stays low when a limit is back: one that was cut for a while, or spent by
         # another sender's burst, a batch job or a restart. Costs some refused calls where a limit stays low,
         # so does harm where each of them uses up the little that there is. Not after an outage: see ramp.
         span = 0.0 if self.is_cold(now) else max(0.0, now - max(self.cut_at, self.raised_at))
         sure = min(1.0, VOUCHED * self.spread) * self.vouched
-        back = min(self.pace + sure * span / RETURN, sure)
+        back = min(self.pace + sure * span / (RETURN * self.doubt), sure)
+        back = max(back, min(self.pace + self.knee * span / RETURN, self.knee)) if self.sparse else back
         self.pace, self.raised_at = max(self.pace, grown, back), now
 
     def on_full(self, now: float, wait: float, common: float) -> None:
         """A refusal: cut the pace once a span, or take it as a sign of an outage."""
         self.first_full, self.fulls = self.first_full if self.fulls else now, self.fulls + 1
+        self.passed = 0
+        if self.sparse and self.is_cold(now) and now >= self.cut_at:
+            self.gain = max(self.gain / 2, 1 / GAIN_MOST)
         # An ordinary limit lets calls through again with each span; a shut destination does not.
         many = self.fulls >= FAILS * self.spread  # of many senders, any may meet some refusals in a row
         if self.down or many and now - self.first_full > self.s.fall or wait > self.s.fall:
@@ -260,7 +282,10 @@
             cut = CUT ** min(FAILS, self.spread)
             lowest = min(1000 / self.s.fall, self.listed or self.floor / self.spread)
             common *= self.sparse
-            self.pace = lowest if common > RIFE else max(lowest, cut * min(self.limit, 1.5 * self.sent))
+            used = self.limit if self.sparse and self.pressed else min(self.limit, 1.5 * self.sent)
+            self.knee = max(lowest, KNEE * used)
+            self.doubt = min(self.doubt * (1 + self.sparse), DOUBTED)
+            self.pace = lowest if common > RIFE else max(lowest, cut * used)
             self.cut_at = now + max(wait, CUT_SPAN)
             # Of many senders each waits for its next turn: what all try again at once uses the limit up, and
             # keeps it so while refused calls count.
@@ -280,7 +305,7 @@
             self.next_at = min(self.next_at, now + self.turn + BURST)
         sick = self.failing > SICK_SHARE or self.is_cold(now) and self.fails > 1
         if self.down or sick and not alive:
-            self.cold_at = now
+            self.cold_at, self.gain = now, 1.0
 
     def fit(self, size: int, outcome: Outcome) -> None:
         """Halve what travels in one call when one breaks, double it when one of that size passes."""
@@ -342,7 +367,7 @@
         kinds = [0.0] * len(settings.kinds)  # by kind: shares of recent calls; no idle connection until
         self.refusals, self.resets, self.fresh_resets = kinds[:], kinds[:], kinds[:]
         self.fulls, self.fresh_fulls = kinds[:], kinds[:]  # refused with no wait told
-        self.stale, self.worn = kinds[:], kinds[:]
+        self.stale, self.worn, self.unmade = kinds[:], kinds[:], kinds[:]  # unmade: of new connections
         self.free, self.sick = settings.slots, 0  # sick: slots held by routes that are down
         self.most_sick = max(1, int(settings.slots * SICK_MOST))
         self.deadlines: Schedule[int] = Schedule()  # messages
@@ -744,8 +769,13 @@
         # Guards against kept connections: many senders' fill a table, or something between drops them. Not
         # where new ones fare no better: each call would then pay for a new one, and gain nothing.
         worn = reset and not event.fresh and self.resets[kind] > max(STALE, 2 * self.fresh_resets[kind])
+        unmade = event.outcome is Outcome.CONNECT_FAILED
+        if event.fresh or unmade:
+            self.unmade[kind] += GAIN * (unmade - self.unmade[kind])
         if crowded:
             self.stale[kind] = self.now + IDLE
+        elif event.fresh and max(self.unmade[kind], self.fresh_fulls[kind]) < FEW_UNMADE:
+            self.stale[kind] = 0.0  # it was an outage, not a full table: new ones come up again
         if worn:
             self.worn[kind] = self.now + WORN
         elif event.fresh and self.fresh_resets[kind] > self.resets[kind] / 2:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -176,3 +176,40 @@
         seen += closes(rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), fresh), after=50.0))
         rig.do(after=2000.0)
     assert seen[:1] == closed
+
+
+@pytest.mark.parametrize(("senders", "grows"), [(3, False), (40, True)])
+def test_a_ramp_of_one_of_many_grows_while_calls_pass_and_falls_by_half_at_a_refusal(senders, grows):
+    """The list told half of the rate: all together stayed under it. A few keep to the rule's own multiple."""
+    rig = Rig(senders=senders, overload_factor=2.0, cold_from=0.2, cold=60000.0)
+    listed(rig, 40.0)
+    for n in range(3 if senders == 3 else 1):
+        rig.arrive(n)
+        rig.result(n, i.Outcome.CONNECT_FAILED)
+        rig.do(i.Withdrawn(n))
+    route, ramps = rig.sender.routes[1][0], []
+    for n in range(10, 17):
+        rig.arrive(n, left=60000.0)
+        while n not in rig.tries:
+            rig.do(after=20.0)
+        rig.result(n, i.Outcome.FULL if n == 16 else i.Outcome.OK, after=50.0)
+        share = 0.2 + 0.8 * (rig.now - route.cold_at) / 60000.0
+        ramps.append(route.ramp(rig.now) / share)
+    assert (ramps[5] > 1.4 * ramps[0]) is grows and ramps[5] >= 0.99 * ramps[0]
+    assert (ramps[6] < 0.6 * ramps[5]) is grows
+
+
+def test_new_connections_that_come_up_again_tell_an_outage_from_a_full_table():
+    """zone+vast: after an outage each call opened a connection of its own for half a minute."""
+    rig = Rig(senders=40)
+    rig.arrive(1)
+    rig.result(1, i.Outcome.CONNECT_FAILED)
+    rig.do(i.Withdrawn(1))
+    shut, begun = [], rig.now
+    for n in range(2, 30):
+        rig.arrive(n, left=60000.0)
+        while n not in rig.tries:
+            rig.do(after=20.0)
+        attempt, endpoint = rig.last[n]
+        shut += closes(rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), True), after=50.0))
+    assert 5 <= len(shut) <= 15 and rig.now < begun + 30000.0  # sooner than by time alone
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -63,3 +63,24 @@
     """Half the rate, or twice the senders: it grows from there; the other way round: refusals cut it."""
     played = Fleet(40, [steady(40.0, listed=listed, swing=0.3)], seed=3, told=told).play(20000)
     assert played.share > 0.75 and played.ends["FULL"] < 0.65 * played.ends["OK"]
+
+
+def test_a_return_is_used_where_the_list_is_half_of_the_limit():
+    """zone+vast: 65 calls a second went where 96 would have passed, none refused, 830 messages waiting; and each
+    of them on a new connection, for half a minute."""
+    back = Destination(1, lambda now: 80.0, listed=42.0, demand=0.9, counts=False, down=(6000.0, 11000.0))
+    played = Fleet(40, [back], seed=3).play(25000)
+    assert sum(n["OK"] for (_, at), n in played.by_second.items() if 12 <= at < 22) > 345
+    assert played.opened < 0.42 * played.messages
+
+
+def test_one_of_ten_with_a_third_of_the_traffic_grows_from_where_it_was_refused():
+    """Between two refusals a pace grew again from half of what had passed, by its square of time over the fleet."""
+    shares = [Fleet(10, [steady(40.0)], seed=seed, tilt=0.33).play(20000).share for seed in (3, 4, 5)]
+    assert sum(shares) / 3 > 0.918
+
+
+def test_a_list_twice_too_high_is_believed_less_with_each_refusal():
+    """What it granted was given back within two seconds of every cut: 0.46 refused for each that passed."""
+    played = [Fleet(40, [steady(40.0, listed=80.0, swing=0.3)], seed=seed).play(20000) for seed in (3, 4, 5)]
+    assert sum(day.ends["FULL"] for day in played) < 0.25 * sum(day.ends["OK"] for day in played)
