Answer every front in types: Taken, Known, Busy, Wrong instead of RESP's bytes

Need: the node took RESP's request and answered RESP's bytes; the AMQP session read "-BUSY 250" back out of them by a regular expression, and a third front would have had to as well.

Change: rainpier/handed.py is the one interface between a front and the node: `Handed` in, `Taken`, `Known(owed)`, `Busy(back)` or `Wrong(reason)` out, at once or from the next round. Each front words its own answer. What the AMQP front had to ask the node besides, whether a known message's end is still owed to the queue that was named, is in `Known`.

--- a/benchmarks/destinations.py
+++ b/benchmarks/destinations.py
@@ -22,7 +22,7 @@
 
 from rainpier import interface as i
 from rainpier.config.place import Config
-from rainpier.fronts.resp.requests import Put
+from rainpier.handed import Handed
 from rainpier.membership.file import FileList
 from rainpier.membership.source import Host
 from rainpier.node.node import Node
@@ -99,7 +99,7 @@
         for _ in range(RATE // 100):
             count += 1
             name, dest = f"{id(took):x}-{count}", rng.choice(active)
-            put = Put(name, "notice", dest, 0, "", 20000.0, b"x" * 200, False, False)
+            put = Handed(name, "notice", dest, 0, "", 20000.0, b"x" * 200, False, False)
             before = time.perf_counter()
             node.put(put)
             took.append(time.perf_counter() - before)
--- a/rainpier/fronts/amqp/desk.py
+++ b/rainpier/fronts/amqp/desk.py
@@ -28,6 +28,4 @@
         queues.tell(entry.reply_to, reply(entry.id, outcome, entry.correlation, retry), clock())
 
     node.replies = told
-    return Desk(
-        routes_of(config), queues, node.put, node.awaited, node.held_for, clock, options.without_confirms
-    )
+    return Desk(routes_of(config), queues, node.put, node.held_for, clock, options.without_confirms)
--- a/rainpier/fronts/amqp/messages.py
+++ b/rainpier/fronts/amqp/messages.py
@@ -13,8 +13,8 @@
 
 from ...amqp import codes
 from ...amqp.codes import ChannelRefusal
+from ...handed import KEY, MAX_SPAN, NAME, Handed
 from ...interface import Effect, MessageClass
-from ..resp.requests import KEY, MAX_SPAN, NAME, Put
 
 PUBLISH = (60, 40)
 PLACES = ("class", "destination", "key")
@@ -132,7 +132,7 @@
 
 def read(
     publish: commands.Basic.Publish, properties: commands.Basic.Properties, body: bytes, routes: Routes
-) -> Put:
+) -> Handed:
     """Unroutable where no route takes it; ChannelRefusal for what can't be meant."""
     places, headers = routes.places(publish), properties.headers or {}
     cls_name = header(headers, CLASS, places.get("class", "") or str(properties.message_type or ""))
@@ -150,7 +150,7 @@
     reply_to, correlation = str(properties.reply_to or ""), str(properties.correlation_id or "")
     if len(correlation.encode()) > MAX_CORRELATION:
         raise refuse("correlation-id is too long")
-    return Put(
+    return Handed(
         name, cls_name, destination, key_of(header(headers, KEY_HEADER, places.get("key", ""))), token,
         span_of(properties.expiration, cls), body, header(headers, REPEATED) == "1", False,
         reply_to, correlation,
--- a/rainpier/fronts/amqp/session.py
+++ b/rainpier/fronts/amqp/session.py
@@ -7,7 +7,6 @@
 import asyncio
 import logging
 import math
-import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,15 +17,12 @@
 from ...amqp import frames as f
 from ...amqp.channel import Content
 from ...amqp.codes import ChannelRefusal, ConnectionRefusal
-from ..resp.requests import Put
+from ...handed import Answer, Answered, Busy, Handed, Known, Taken, Wrong
 from .messages import PUBLISH, Routes, Unroutable, read
 from .queues import Full, Queue, Queues, Reply, reply
 
 B, E, Q, T = commands.Basic, commands.Exchange, commands.Queue, commands.Tx
-Answer = asyncio.Future[bytes] | bytes
 log = logging.getLogger(__name__)
-OK = b"+OK\r\n"
-BUSY = re.compile(rb"-BUSY (\d+)\r\n")
 TYPES = ("direct", "topic")  # that the exchange may be declared as
 PREDECLARED = "amq."
 MOST_CONSUMERS = 64  # of one channel
@@ -117,8 +113,7 @@
 
     routes: Routes
     queues: Queues
-    put: Callable[[Put], Answer]
-    awaited: Callable[[str, str], bool]  # the end of that message will go to that queue
+    put: Callable[[Handed], Answered]
     held: Callable[[int], int]  # messages held for a destination, by number
     clock: Callable[[], float]
     unconfirmed: bool = False  # publishing without confirms is accepted
@@ -228,7 +223,7 @@
             self.wire.publish(lane.id, told, content.properties, content.body)
         self.decide(lane, tag, bool(publish.mandatory))
 
-    def hand_in(self, lane: Lane, tag: int, put: Put) -> None:
+    def hand_in(self, lane: Lane, tag: int, put: Handed) -> None:
         if put.reply_to:
             if self.desk.queues.get(put.reply_to) is None:
                 raise ChannelRefusal(
@@ -241,28 +236,26 @@
                 self.decide(lane, tag, False)
                 return
         answer = self.desk.put(put)
-        if isinstance(answer, bytes):
-            if answer == OK and put.reply_to and not self.desk.awaited(put.id, put.reply_to):
-                self.known(put)
+        if not isinstance(answer, asyncio.Future):
             self.answered(lane, tag, put, answer)
             return
         lane.waiting[tag] = None
         answer.add_done_callback(lambda done: self.answered(lane, tag, put, done.result()))
 
-    def known(self, put: Put) -> None:
-        """A message that came before and is over: its end was told then, and who waits now is told that."""
-        self.desk.queues.tell(put.reply_to, reply(put.id, "known", put.correlation), self.desk.clock())
-
-    def answered(self, lane: Lane, tag: int, put: Put, answer: bytes) -> None:
+    def answered(self, lane: Lane, tag: int, put: Handed, answer: Answer) -> None:
         """Confirms tell no time to come back; a refusal's goes to reply-to."""
-        busy = BUSY.fullmatch(answer)
-        if put.reply_to and answer != OK:
-            retry = math.ceil(int(busy[1])) if busy else 0
-            outcome = "handed_back" if busy else "given_up"
-            self.desk.queues.tell(
-                put.reply_to, reply(put.id, outcome, put.correlation, retry), self.desk.clock()
-            )
-        self.decide(lane, tag, answer == OK)
+        outcome, retry = "", 0
+        match answer:
+            case Known(owed=False):  # its end was told then, and who waits now is told that
+                outcome = "known"
+            case Busy(back):
+                outcome, retry = "handed_back", back
+            case Wrong():
+                outcome = "given_up"
+        if put.reply_to and outcome:
+            told = reply(put.id, outcome, put.correlation, retry)
+            self.desk.queues.tell(put.reply_to, told, self.desk.clock())
+        self.decide(lane, tag, isinstance(answer, Taken | Known))
 
     def decide(self, lane: Lane, tag: int, acked: bool) -> None:
         lane.waiting.pop(tag, None)
--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -1,40 +1,19 @@
 """RESP2 requests: where one ends, what it asks, and what is wrong with it. No input or output."""
 
 import re
-from dataclasses import dataclass
 
 import hiredis
 
+from ...handed import KEY, MAX_DESTINATION, MAX_SPAN, NAME, Answer, Busy, Handed, Wrong
+
 MAX_BODY = 65536
 MAX_REQUEST = 2 * MAX_BODY  # bytes; what is longer than a body and its fields can be is still answered
-MAX_SPAN = 86_400_000  # ms; no message lives longer than a day
-MAX_DESTINATION = 2**31 - 1
-NAME = re.compile(rb"[!-~]{1,128}")  # ids and idempotency keys go into headers and JSON: visible ASCII only
-KEY = re.compile(rb"[0-9a-fA-F]{1,16}")
 NUMBER = re.compile(rb"[0-9]{1,15}")
 FLAG = re.compile(rb"[01]")
 ARRAY, BULK = re.compile(rb"\*([1-9]\d?)\r\n"), re.compile(rb"\$(\d{1,6})\r\n")
 HEADER = 10  # bytes that the longest header fits in
 
 
-@dataclass(slots=True)
-class Put:
-    """A message handed in."""
-
-    id: str
-    cls: str
-    destination: int
-    key: int
-    token: str
-    span: float  # ms it may still be delivered
-    body: bytes
-    repeated: bool
-    inherited: bool
-    reply_to: str = ""  # the queue that its end goes to, and what it is known by there
-    correlation: str = ""
-    tenant: str = ""  # who it counts for, where the settings name tenants
-
-
 class BadRequest(Exception):
     """What is wrong with a request; the text names it."""
 
@@ -43,6 +22,16 @@
     return f"-ERR {text}\r\n".encode("ascii", "replace")
 
 
+def worded(answer: Answer) -> bytes:
+    """A client hands in again what it had no answer to, so it is told the same for what is known."""
+    match answer:
+        case Busy(back):
+            return b"-BUSY %d\r\n" % back
+        case Wrong(reason):
+            return error(reason)
+    return b"+OK\r\n"
+
+
 def shown(value: bytes) -> str:
     """For an error line: short, and free of line ends."""
     return ascii(value[:64].decode("latin-1"))
@@ -74,7 +63,7 @@
     return fields
 
 
-def parse_put(args: list[bytes]) -> Put:
+def parse_put(args: list[bytes]) -> Handed:
     if len(args) != 4:
         raise BadRequest("wrong number of arguments for 'MSG.PUT'")
     key, name, listed, body = args
@@ -87,7 +76,7 @@
     token = match(NAME, fields[b"k"], "field k") if b"k" in fields else ""
     tenant = match(NAME, fields[b"t"], "field t") if b"t" in fields else ""
     repeated, inherited = (match(FLAG, fields.get(f, b"0"), f"field {f.decode()}") for f in (b"r", b"again"))
-    return Put(
+    return Handed(
         match(NAME, name, "id"), match(NAME, fields[b"c"], "field c"),
         number(fields, b"dest", 0, MAX_DESTINATION), int(match(KEY, key, "key"), 16), token,
         number(fields, b"d", 1, MAX_SPAN), body, repeated == "1", inherited == "1", tenant=tenant,
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -9,7 +9,8 @@
 
 import hiredis
 
-from .requests import BadRequest, Put, error, frame, parse_put, shown
+from ...handed import Answered, Handed
+from .requests import BadRequest, error, frame, parse_put, shown, worded
 from .session import Session
 
 log = logging.getLogger(__name__)
@@ -27,7 +28,7 @@
 SHORT = 0.3  # s without room after which new connections are turned away: a client waits 0.4 s
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
-Answer = asyncio.Future[bytes] | bytes
+Reply = Answered | bytes  # bytes: of the session itself
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -38,7 +39,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.session = Session(clients.password)
-        self.answers: deque[Answer] = deque()
+        self.answers: deque[Reply] = deque()
         self.since = self.loop.time()  # of the last thing that happened: the connect, a request, an answer
         self.begun = self.since  # when the first byte of the request that is not whole yet came
         self.proven = False  # has sent a whole request
@@ -153,14 +154,14 @@
                     break
                 answer = answer.result()
             self.answers.popleft()
-            ready.append(answer)
+            ready.append(answer if isinstance(answer, bytes) else worded(answer))
         if ready and self.transport is not None:
             self.transport.write(b"".join(ready))
             self.since = self.loop.time()
         if self.last and not self.answers and not self.due or self.clients.ended and not self.busy:
             self.close()
 
-    def decided(self, _: asyncio.Future[bytes]) -> None:
+    def decided(self, _: asyncio.Future) -> None:
         if not self.closing:
             crowded = self.crowded
             self.flush()
@@ -195,7 +196,7 @@
 class Clients:
     """Listens, and keeps the connections inside their number."""
 
-    def __init__(self, put: Callable[[Put], Answer], most: int, password: str = "") -> None:
+    def __init__(self, put: Callable[[Handed], Answered], most: int, password: str = "") -> None:
         self.put, self.most, self.password = put, most, password
         self.loop = asyncio.get_running_loop()
         self.parser = hiredis.Reader()
@@ -328,7 +329,7 @@
 
     # --- requests ---
 
-    def answer(self, request: list[bytes], session: Session) -> Answer:
+    def answer(self, request: list[bytes], session: Session) -> Reply:
         name, *args = request
         try:
             if (told := session.answer(name, args)) is not None:
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -17,7 +17,7 @@
 from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
 from ..config.place import Config
 from ..config.platform import ConfigError, address
-from ..fronts.resp.requests import Put, error
+from ..handed import Answer, Answered, Busy, Handed, Known, Taken, Wrong
 from ..membership.platform import read_hosts
 from ..membership.source import Host, Source
 from ..policy import EVICT_AT, Sender
@@ -40,7 +40,6 @@
 DOOR_WAIT = 1000  # ms after which a client may come again where there is no room at all
 FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 MOST_FORGOTTEN = 500  # receivers looked at in one sweep: guards against a long stop where many leave
-OK = b"+OK\r\n"
 
 
 def brokers(settings: i.Settings, config: Config) -> Carriers | None:
@@ -66,7 +65,7 @@
     """A message handed in, until the round that takes it on or refuses it."""
 
     entry: Entry
-    answer: asyncio.Future[bytes]
+    answer: asyncio.Future[Answer]
 
 
 class Node:
@@ -223,24 +222,21 @@
 
     def settle_intake(self, handed: Intake, end: i.Refuse | i.Fail | None) -> None:
         """A message is taken on once it is in the store, and only then is its client told so."""
-        entry, answer = handed.entry, OK
+        entry = handed.entry
+        if end is None and self.store.take(entry):
+            self.own(entry)
+            return self.store.sure(lambda: self.answer(handed, Taken()))
+        self.unowe(entry)
         if isinstance(end, i.Refuse):
-            answer = b"-BUSY %d\r\n" % math.ceil(end.retry_after)
+            answer: Answer = Busy(math.ceil(end.retry_after))
         elif end is not None:
-            answer = error("given up")
-        elif not self.store.take(entry):
-            answer = b"-BUSY %d\r\n" % DOOR_WAIT
-            self.push(i.Withdrawn(entry.number))
-        if answer is OK:
-            self.own(entry)
+            answer = Wrong("given up")
         else:
-            self.unowe(entry)
+            answer = Busy(DOOR_WAIT)
+            self.push(i.Withdrawn(entry.number))
         if end is not None and entry.key:
             self.push(i.EndAnswered(entry.number, entry.key))
-        if answer is OK:
-            self.store.sure(lambda: self.answer(handed, answer))
-        else:
-            self.answer(handed, answer)
+        self.answer(handed, answer)
 
     def own(self, entry: Entry) -> None:
         """It is in the store, and owed its end."""
@@ -258,7 +254,7 @@
         self.store.over(entries)
 
     @staticmethod
-    def answer(handed: Intake, answer: bytes) -> None:
+    def answer(handed: Intake, answer: Answer) -> None:
         if not handed.answer.done():
             handed.answer.set_result(answer)
 
@@ -316,28 +312,29 @@
 
     # --- intake ---
 
-    def put(self, put: Put) -> asyncio.Future[bytes] | bytes:
+    def put(self, put: Handed) -> Answered:
         """A client hands in a message."""
         if put.cls not in self.classes:
-            return error(f"unknown class {put.cls}")
+            return Wrong(f"unknown class {put.cls}")
         if put.tenant and self.tenants and put.tenant not in self.tenants:
-            return error(f"unknown tenant {put.tenant}")
+            return Wrong(f"unknown tenant {put.tenant}")
         if put.destination not in self.destinations or self.numbers and put.destination not in self.numbers:
-            return error(f"unknown destination {put.destination}")
+            return Wrong(f"unknown destination {put.destination}")
         if len(put.body) > self.config.largest_body:
-            return error(f"body longer than {self.config.largest_body} bytes")
+            return Wrong(f"body longer than {self.config.largest_body} bytes")
         cls = self.classes[put.cls]
         if put.span > SPANS * self.s.classes[cls].deadline:
-            return error(f"field d out of range: {put.span}")
+            return Wrong(f"field d out of range: {put.span}")
         if put.id in self.names:
             self.redirect(self.names[put.id].entry, put)
             return self.names[put.id].answer
         if self.store.knows(put.id, self.now):  # guards against taking on twice what came twice
-            self.redirect(self.store.entries.get(self.store.state.numbers.get(put.id, 0)), put)
-            return OK
+            known = self.store.entries.get(self.store.state.numbers.get(put.id, 0))
+            self.redirect(known, put)
+            return Known(owed=known is not None and not known.told)
         held = len(self.store.entries) + len(self.intake)
         if held >= self.s.max_open or not self.store.room(put.body):
-            return b"-BUSY %d\r\n" % DOOR_WAIT
+            return Busy(DOOR_WAIT)
         number, self.store.next = self.store.next, self.store.next + 1
         key = put.key if self.s.classes[cls].in_order else 0
         deadline = self.now + put.span
@@ -365,18 +362,13 @@
 
     # --- ends for reply queues ---
 
-    def redirect(self, entry: Entry | None, put: Put) -> None:
+    def redirect(self, entry: Entry | None, put: Handed) -> None:
         """Who hands in again what is still held gets its end: the queue named before may be gone."""
         if put.reply_to and entry is not None and not entry.told:
             self.unowe(entry)
             entry.reply_to, entry.correlation = put.reply_to, put.correlation
             self.owed[put.reply_to] += 1
 
-    def awaited(self, message: str, reply_to: str) -> bool:
-        """The end of that message will go to that queue."""
-        entry = self.store.entries.get(self.store.state.numbers.get(message, 0))
-        return entry is not None and not entry.told and entry.reply_to == reply_to
-
     def unowe(self, entry: Entry) -> None:
         if entry.reply_to:
             self.owed[entry.reply_to] -= 1
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,6 +7,7 @@
 from peers import Client, command, drive, put, until
 
 from rainpier.fronts.resp.server import Clients
+from rainpier.handed import Busy, Taken
 
 
 @contextlib.asynccontextmanager
@@ -15,7 +16,7 @@
 
     def take(message):
         taken.append(message)
-        return answer(message) if answer else b"+OK\r\n"
+        return answer(message) if answer else Taken()
 
     clients = Clients(take, most)
     await clients.listen(("127.0.0.1", 0))
@@ -90,11 +91,11 @@
 def test_pipelined_and_split_requests_are_answered_in_order():
     async def story():
         first = asyncio.get_running_loop().create_future()
-        answers = {"a": first, "b": b"-BUSY 70\r\n"}
+        answers = {"a": first, "b": Busy(70)}
         async with serving(lambda m: answers[m.id]) as (clients, taken), Client(clients.port) as client:
             client.writer.write(put("a") + put("b") + command("PING"))
             await until(lambda: len(taken) == 2)  # the second is not held up by the first
-            first.set_result(b"+OK\r\n")
+            first.set_result(Taken())
             assert [await client.answer() for _ in range(3)] == ["OK", "-BUSY 70", "PONG"]
             for byte in put("b"):
                 client.writer.write(bytes([byte]))
@@ -123,7 +124,7 @@
                 assert await idle.answer() is None
                 half.writer.write(data[20:])
                 await until(lambda: len(taken) == 2)
-                answer.set_result(b"+OK\r\n")
+                answer.set_result(Taken())
                 assert [await waiting.answer(), await half.answer()] == ["OK", "OK"]
                 assert await waiting.answer() is None
                 await closing
@@ -190,7 +191,7 @@
             async with Client(clients.port) as newcomer:
                 assert await newcomer.ask(command("PING")) == "PONG"
             assert await idle.answer() is None
-            answer.set_result(b"+OK\r\n")
+            answer.set_result(Taken())
             assert await waiting.answer() == "OK"
 
     drive(story())
@@ -266,7 +267,7 @@
             assert len(taken) == 64
             (connection,) = (c for c in clients.connections if c.answers)
             assert len(connection.buffer) <= 2 * 65536
-            never.set_result(b"+OK\r\n")
+            never.set_result(Taken())
             assert [await flood.answer() for _ in range(2000)] == ["OK"] * 2000
 
     drive(story())
@@ -280,7 +281,7 @@
             client.writer.write_eof()
             await until(lambda: taken)
             await asyncio.sleep(0.05)
-            answer.set_result(b"+OK\r\n")
+            answer.set_result(Taken())
             assert await client.answer() == "OK" and await client.answer() is None
 
     drive(story())
--- a/tests/test_handshake.py
+++ b/tests/test_handshake.py
@@ -10,9 +10,10 @@
 
 from rainpier.fronts.resp.server import Clients
 from rainpier.fronts.resp.session import COMMANDS, MOST_WRONG
+from rainpier.handed import Busy, Taken
 
 
-async def serve(put=lambda put: b"+OK\r\n", password="", most=100):
+async def serve(put=lambda put: Taken(), password="", most=100):
     clients = Clients(put, most, password)
     await clients.listen(("127.0.0.1", 0))
     return clients
@@ -26,7 +27,7 @@
 
         def take(put):
             taken.append(put)
-            return b"-BUSY 250\r\n" if put.id == "no" else b"+OK\r\n"
+            return Busy(250) if put.id == "no" else Taken()
 
         server = await serve(take, options.get("password", "") or "")
         client = redis.Redis(port=server.port, **options)
@@ -193,7 +194,7 @@
 def test_what_comes_behind_a_quit_is_not_read():
     async def story():
         taken = []
-        server = await serve(lambda put: taken.append(put) or b"+OK\r\n")
+        server = await serve(lambda put: taken.append(put) or Taken())
         async with Client(server.port) as client:
             client.writer.write(put("one") + command("QUIT") + put("two") + command("PING"))
             assert [await client.answer() for _ in range(3)] == ["OK", "OK", None]
@@ -206,7 +207,7 @@
 def test_without_the_password_nothing_is_taken_and_guesses_are_bounded():
     async def story():
         taken = []
-        server = await serve(lambda put: taken.append(put) or b"+OK\r\n", password="correct-horse")
+        server = await serve(lambda put: taken.append(put) or Taken(), password="correct-horse")
         async with Client(server.port) as client:
             for ask in (put("one"), command("PING"), command("INFO"), command("CLIENT", "ID"), command("NOSUCH")):
                 assert (await client.ask(ask)).startswith("-NOAUTH")
