Divide the node into rooms: rounds, intake, calls, waits, ends and hosts round one core

Need: Node was one class of 640 lines, 50 methods and some 35 attributes; a line in it could not tell what it may touch, and the attempt's table needs one place that drives calls. `node` also imported the platform's words (its addresses, its form of the list) from config and membership.

Change, no behaviour: node/core.py (settings, store, clock, the way into the next round), rounds.py, intake.py, calls.py, waits.py (what a told wait binds), ends.py, hosts.py; node.py says which rooms there are and what a round is. Each names in its first lines what it may touch; calls alone changes what is out. A source tells what it knew before the process (`known`), so nothing in node reads discovery's form; HOST:PORT is read in membership/source.py.

--- a/benchmarks/destinations.py
+++ b/benchmarks/destinations.py
@@ -110,14 +110,14 @@
 
 def timed(node: Node, rounds: list[float]) -> None:
     """Take the time of each round from now on."""
-    whole = node.round
+    whole = node.rounds.run
 
-    def round() -> None:
+    def round(events: list[i.Event]) -> None:
         begun = time.perf_counter()
-        whole()
+        whole(events)
         rounds.append(time.perf_counter() - begun)
 
-    node.round = round  # type: ignore[method-assign]
+    node.rounds.run = round
 
 
 def centile(values: list[float], share: float) -> float:
@@ -143,7 +143,7 @@
         before = memory()
         begun = time.perf_counter()
         source.set(listed)
-        await node.listing.done()
+        await node.hosts.listing.done()
         print(f"{total} destinations listed in {time.perf_counter() - begun:.2f} s")
         each = (memory() - before) / max(1, total - 100)
         rounds.clear()
@@ -159,7 +159,7 @@
         await asyncio.sleep(0.5)
         begun = time.perf_counter()
         source.set([h for h in after if h is not None])
-        await node.listing.done()
+        await node.hosts.listing.done()
         spent = time.perf_counter() - begun
         count += await task
         print(f"half of them changed in {spent:.2f} s: longest round {max(rounds) * 1000:.1f} ms, p99 "
--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -13,7 +13,7 @@
 from .config.reload import Reload
 from .fronts.resp.server import Clients
 from .host import finish
-from .membership.platform import Discovery, read_seq
+from .membership.platform import Discovery
 from .node.node import Node
 from .sinks.notices import Notices
 from .store.files import InUse
@@ -29,7 +29,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(os.environ)
-    discovery = Discovery(config.discovery, read_seq(config.known), config.settings.senders)
+    discovery = Discovery(config.discovery, config.known, config.settings.senders)
     notices = Notices(config.discovery)
     node = Node(config, discovery, notices)
     reloading = loop.create_task(keep(lambda: reload.run(config, discovery, notices)))
@@ -37,7 +37,7 @@
     clients = Clients(node.put, config.for_clients)
     await clients.listen(config.listen)
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
-    log.info("%d slots, %d descriptors, %d bytes of disk", node.s.slots, config.sockets, config.disk)
+    log.info("%d slots, %d descriptors, %d bytes of disk", node.core.s.slots, config.sockets, config.disk)
     await stop.wait()
     await finish(node, [clients], loop.time())
     reloading.cancel()
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -3,11 +3,12 @@
 import json
 import math
 import os
-import sys
 from collections.abc import Mapping
 from pathlib import Path
 
 from .. import interface as i
+from ..membership.source import AddressError
+from ..membership.source import address as read_address
 from . import model as m
 from . import place
 
@@ -82,11 +83,10 @@
 
 
 def address(text: object, name: str) -> tuple[str, int]:
-    """HOST:PORT."""
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"{name}: not HOST:PORT: {text!r}")
-    return sys.intern(host.strip("[]")), int(port)  # many endpoints may share one
+    try:
+        return read_address(text, name)
+    except AddressError as error:
+        raise ConfigError(str(error)) from error
 
 
 def limit(limits: Mapping, name: str, default: float) -> float:
--- a/rainpier/membership/file.py
+++ b/rainpier/membership/file.py
@@ -29,6 +29,7 @@
 
     def __init__(self, listed: list[Host]) -> None:
         self.listed, self.whole = listed, asyncio.Event()
+        self.known: list[Host] = []
         self.told: Told | None = None
 
     def start(self, told: Told) -> None:
--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -70,12 +70,13 @@
 class Discovery:
     """Keeps the list of receivers: first the whole list, then watches, for as long as the process runs."""
 
-    def __init__(self, address: tuple[str, int], seq: int | None = None, senders: int = 1) -> None:
-        """`seq`: the version of the list that is known already; only what changed since is asked for."""
+    def __init__(self, address: tuple[str, int], known: dict | None = None, senders: int = 1) -> None:
+        """`known`: a list that was had before, in discovery's form; only what changed since is asked for."""
         self.address, self.client = address, Client(address, MAX_LIST)
         self.span = TURN * max(0, senders - FEW)
         self.told: Told = lambda kind, hosts: None
-        self.seq = seq
+        self.known = read_hosts(known) if known else []
+        self.seq = read_seq(known or {})
         self.whole = asyncio.Event()  # the list came at least once
         self.task: asyncio.Task | None = None
 
--- a/rainpier/membership/source.py
+++ b/rainpier/membership/source.py
@@ -1,6 +1,7 @@
 """What every source of endpoints gives: entries in the list's terms, told as they change."""
 
 import asyncio
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -22,6 +23,18 @@
     born: float  # Unix time of its start, ms; 0: long ago
 
 
+class AddressError(ValueError):
+    """Not HOST:PORT; the text names whose address it is."""
+
+
+def address(text: object, name: str) -> tuple[str, int]:
+    """HOST:PORT, an IPv6 host in brackets or not. AddressError."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise AddressError(f"{name}: not HOST:PORT: {text!r}")
+    return sys.intern(host.strip("[]")), int(port)  # many endpoints may share one
+
+
 Told = Callable[[ListKind, list[Host]], None]
 
 
@@ -29,6 +42,7 @@
     """Tells the whole list once, then each change, for as long as it is started."""
 
     whole: asyncio.Event  # the list came at least once
+    known: list[Host]  # what was listed before this process; serves until the list comes
 
     def start(self, told: Told) -> None: ...
 
--- /dev/null
+++ b/rainpier/node/calls.py
@@ -0,0 +1,188 @@
+"""Attempts that are out: what is written before one begins, whether it may go now, and how it ended.
+
+This room drives the carriers and writes the store's records of attempts; what an outcome means for the
+message is the module's to say, and what its end is, that of the room of ends.
+"""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Iterable
+
+from .. import interface as i
+from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
+from ..config.place import Config
+from ..store.entry import Entry
+from .core import Core
+from .ends import Ends
+from .waits import Waits
+
+log = logging.getLogger(__name__)
+FAILURES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
+
+
+def brokers(settings: i.Settings, config: Config) -> Carriers | None:
+    """What carries calls to brokers; loaded only where there are some, since a start should be short."""
+    if not config.brokers:
+        return None
+    from ..carriers.amqp.brokers import Brokers
+
+    return Brokers(settings, config.brokers)
+
+
+class Calls:
+    def __init__(self, core: Core, ends: Ends, out: dict[int, Call]) -> None:
+        """`out`: by message, the call that it travels in; this room alone changes it."""
+        self.core, self.store, self.ends, self.out = core, core.store, ends, out
+        self.receivers = Receivers(core.s, self.may_write, self.on_ended, core.config.for_calls)
+        self.receivers.early = self.on_early
+        self.waits = Waits(core, self.receivers)
+        self.reconfigure()
+
+    def reconfigure(self) -> None:
+        self.receivers.brokers = brokers(self.core.s, self.core.config)
+
+    def watch_store(self) -> None:
+        """Tell the module when attempts can't be recorded, and when they can again."""
+        if self.store.stuck != self.core.stalled:
+            self.core.stalled = self.store.stuck
+            stuck, free = "no room to record attempts: none begins", "attempts begin again"
+            log.warning(stuck if self.store.stuck else free)
+            self.core.push(i.Stalled(self.core.stalled))
+
+    # --- what a round decided ---
+
+    def carry_out(self, actions: Iterable[i.Action]) -> None:
+        """Those actions that are of calls and connections; sends go last."""
+        sends: dict[int, list[i.Send]] = {}
+        for action in actions:
+            match action:
+                case i.Send():
+                    sends.setdefault(action.endpoint, []).append(action)
+                case i.Cancel(message):
+                    if (call := self.out.get(message)) and call.task:
+                        call.task.cancel()
+                case i.CloseIdle(endpoint):
+                    self.receivers.close_idle(self.receivers.listed[endpoint])
+                case i.OutageChange(endpoint, down):
+                    route = self.waits.name(self.receivers.listed[endpoint].listed)
+                    self.store.outage(route, self.core.now if down else 0.0)
+        for endpoint, sent in sends.items():
+            self.send(endpoint, sent)
+
+    def send(self, endpoint: int, sends: list[i.Send]) -> None:
+        """What a round sends to one receiver travels together, as far as its kind allows."""
+        receiver, now = self.receivers.listed.get(endpoint), self.core.loop.time()
+        timeouts = {send.message: send.timeout for send in sends}
+        unable = timeouts.keys() - self.store.entries.keys() if receiver else timeouts.keys()
+        for message in unable:
+            # Guards the module's slots: what could not be stored is not sent, and its attempt is over.
+            self.core.push(i.Result(message, 0, endpoint, i.Outcome.MOOT, closed=True))
+        if receiver is None:
+            return
+        owed = [self.store.entries[message] for message in timeouts if message in self.store.entries]
+        for entries in batches(owed, receiver.batch):
+            longest = max(timeouts[entry.number] for entry in entries)
+            call = Call(receiver, entries, [entry.attempts for entry in entries], now, now + longest / 1000)
+            for entry in entries:
+                entry.attempts += 1
+                self.out[entry.number] = call
+                timeout = timeouts[entry.number]
+                # Guards against one message at its deadline cutting short the call of the others.
+                if timeout < longest and entry.deadline < call.until * 1000 + self.core.epoch:
+                    self.core.loop.call_later(timeout / 1000, self.expire, call, entry)
+            self.receivers.start(call)
+
+    # --- before the first byte ---
+
+    def may_write(self, call: Call) -> bool | asyncio.Future[bool]:
+        """The connection is up, and the first byte goes out now: unless something was told meanwhile."""
+        if not self.may_go(call):
+            return False
+        if not self.store.begin(call.entries, self.core.now, call.receiver.listed.zone):
+            self.watch_store()
+            return False
+        if not self.store.machine:
+            return True
+        # Once it is on the disk, which takes a while: what is told meanwhile binds too.
+        sure = self.core.loop.create_future()
+        self.store.sure(lambda: sure.done() or sure.set_result(self.may_go(call)))
+        return sure
+
+    def may_go(self, call: Call) -> bool:
+        """Guards drains and waits against calls whose connection took long to come up."""
+        drained = self.core.loop.time() - call.receiver.told_at
+        return drained <= self.core.s.drain_grace / 2000 and self.waits.over(call.receiver.listed)
+
+    # --- outcomes ---
+
+    def on_ended(self, call: Call, ending: Ending) -> None:
+        if ending.wait:
+            listed = call.receiver.listed
+            self.store.wait(self.waits.name(listed), self.waits.bind(listed, ending.wait))
+        self.log_failures(call, ending)
+        over, owed = [], []
+        for entry, attempt, (outcome, nothing_owed) in zip(
+            call.entries, call.attempts, ending.outcomes, strict=True
+        ):
+            if entry.number in call.settled:
+                if self.out.get(entry.number) is call:  # else another attempt of it may be out by now
+                    self.release(entry)
+                continue
+            closed = nothing_owed or outcome is i.Outcome.OK
+            over.append(entry) if closed else owed.append((entry, outcome))
+            if closed:
+                self.ends.delivered(entry, outcome)
+            self.settle(call, entry, attempt, outcome, closed, ending)
+        if over:
+            self.ends.over(over)
+        self.store.results(owed)
+
+    def on_early(self, call: Call, entry: Entry, outcome: i.Outcome) -> None:
+        """A message has its outcome while its call goes on for the others."""
+        if not call.open or entry.number in call.settled:
+            return
+        call.settled.add(entry.number)
+        attempt, closed = call.attempts[call.entries.index(entry)], outcome is i.Outcome.OK
+        if closed:
+            self.ends.delivered(entry, outcome)
+        self.settle(call, entry, attempt, outcome, closed, Ending([]))
+        if closed:
+            self.ends.over([entry])
+        else:
+            self.store.results([(entry, outcome)])
+
+    def expire(self, call: Call, entry: Entry) -> None:
+        """A message's own time is up while its call goes on for the others."""
+        if call.open and entry.number not in call.settled:
+            call.settled.add(entry.number)
+            self.store.results([(entry, i.Outcome.TIMEOUT)])
+            attempt = call.attempts[call.entries.index(entry)]
+            self.settle(call, entry, attempt, i.Outcome.TIMEOUT, False, Ending([]))
+            self.out[entry.number] = call  # still: its key's next one waits for the call
+
+    def settle(
+        self, call: Call, entry: Entry, attempt: int, outcome: i.Outcome, closed: bool, ending: Ending
+    ) -> None:
+        """Its attempt is over: the module hears how."""
+        self.out.pop(entry.number, None)
+        elapsed = (self.core.loop.time() - call.started) * 1000
+        endpoint = call.receiver.listed.endpoint
+        fresh, wait, report = call.uses == 1, ending.wait, ending.report
+        self.core.push(
+            i.Result(entry.number, attempt, endpoint, outcome, elapsed, closed, wait, report, fresh)
+        )
+
+    def release(self, entry: Entry) -> None:
+        self.out.pop(entry.number, None)
+        self.ends.release(entry)
+
+    def log_failures(self, call: Call, ending: Ending) -> None:
+        """For those who look into an outage; refusals are a destination's daily business."""
+        took = (self.core.loop.time() - call.started) * 1000
+        failed = Counter(outcome for outcome, _ in ending.outcomes if outcome in FAILURES)
+        for outcome, count in failed.items():  # one line for a batch: an outage fails hundreds a second
+            log.info(
+                "%s and %d more to %s: %s after %.0f ms, use %d of its connection",
+                call.entries[0].id, count - 1, call.receiver.host, outcome.name, took, call.uses,
+            )  # fmt: skip
--- /dev/null
+++ b/rainpier/node/ends.py
@@ -0,0 +1,139 @@
+"""What is held and owed its end: each message gets one, written before it is told.
+
+This room knows the store and the sink, and whether a message's call is open; it begins no attempt.
+"""
+
+import logging
+import math
+from collections import Counter
+from collections.abc import Callable, Container
+
+from .. import interface as i
+from ..handed import Handed
+from ..sinks.sink import Sink
+from ..store.entry import Entry
+from ..structures.schedule import Schedule
+from .core import Core
+
+log = logging.getLogger(__name__)
+GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
+DELIVERED, OVER = "delivered", "over"
+OVERDUE = 100.0  # ms after a message's time at which it is ended whatever the module says
+
+
+class Ends:
+    def __init__(self, core: Core, sink: Sink, out: Container[int]) -> None:
+        """`out`: the messages whose call is open."""
+        self.core, self.store, self.sink, self.out = core, core.store, sink, out
+        self.held: Counter[int] = Counter()  # by destination: messages in the store
+        self.late: Schedule[int] = Schedule()  # messages, by when they are ended whatever the module says
+        self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
+        self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
+
+    # --- what is held ---
+
+    def own(self, entry: Entry) -> None:
+        """It is in the store, and owed its end."""
+        self.held[entry.destination] += 1
+        self.late.set(entry.number, entry.deadline + OVERDUE)
+
+    def over(self, entries: list[Entry]) -> None:
+        """Nothing more is owed for these."""
+        for entry in entries:
+            if entry.number in self.store.entries:
+                self.late.drop(entry.number)
+                self.held[entry.destination] -= 1
+                if not self.held[entry.destination]:
+                    del self.held[entry.destination]
+        self.store.over(entries)
+
+    def held_for(self, destination: int) -> int:
+        return self.held[destination]
+
+    def recount(self) -> None:
+        """Destinations may have other numbers."""
+        self.held = Counter(entry.destination for entry in self.store.entries.values())
+
+    # --- reply queues ---
+
+    def owe(self, entry: Entry) -> None:
+        if entry.reply_to:
+            self.owed[entry.reply_to] += 1
+
+    def unowe(self, entry: Entry) -> None:
+        if entry.reply_to:
+            self.owed[entry.reply_to] -= 1
+            if self.owed[entry.reply_to] <= 0:
+                del self.owed[entry.reply_to]
+
+    def redirect(self, entry: Entry | None, handed: Handed) -> None:
+        """Who hands in again what is still held gets its end: the queue named before may be gone."""
+        if handed.reply_to and entry is not None and not entry.told:
+            self.unowe(entry)
+            entry.reply_to, entry.correlation = handed.reply_to, handed.correlation
+            self.owe(entry)
+
+    def tell(self, entry: Entry, outcome: str) -> None:
+        """The one end of a message, to its reply queue."""
+        if not entry.reply_to or entry.told:
+            return
+        entry.told = True
+        self.unowe(entry)
+        if self.replies is not None:
+            self.replies(entry, outcome)
+
+    def delivered(self, entry: Entry, outcome: i.Outcome) -> None:
+        """Its call closed it, and no end was decided before."""
+        if not entry.end:
+            self.tell(entry, DELIVERED if outcome is i.Outcome.OK else OVER)
+
+    # --- ends without delivery ---
+
+    def decide(self, action: i.Refuse | i.Fail) -> None:
+        entry = self.store.entries.get(action.message)
+        if entry is None or entry.end:
+            return
+        if isinstance(action, i.Refuse):
+            self.conclude(entry, HANDED_BACK, math.ceil(action.retry_after))
+        else:
+            self.conclude(entry, GIVEN_UP, 0)
+
+    def conclude(self, entry: Entry, end: str, retry: int) -> None:
+        log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
+        self.store.end(entry, end, retry, lambda: self.ended(entry))  # told only once it is written
+
+    def ended(self, entry: Entry) -> None:
+        self.tell(entry, entry.end)
+        self.sink.add(entry)
+
+    def resume(self, entry: Entry) -> None:
+        """It was held by an earlier process, maybe with its end decided and not told."""
+        self.own(entry)
+        self.owe(entry)
+        if entry.end:
+            self.ended(entry)
+        elif entry.cls not in self.core.classes:
+            log.error("message %s is of a class that is no longer known: %s", entry.id, entry.cls)
+            self.conclude(entry, GIVEN_UP, 0)
+
+    def on_answered(self, entries: list[Entry]) -> None:
+        """The sink has passed these on."""
+        self.over(entries)
+        for entry in entries:
+            if entry.number not in self.out:
+                self.release(entry)
+
+    def release(self, entry: Entry) -> None:
+        """None of its calls is open: once its notice is answered its key's next message may go."""
+        if entry.key and entry.number not in self.store.entries:
+            self.core.push(i.EndAnswered(entry.number, entry.key))
+
+    def sweep(self) -> None:
+        """Guards against a message without an end: whatever went wrong, its client is told in time."""
+        for number in self.late.due(self.core.now):
+            entry = self.store.entries.get(number)
+            if entry is None or entry.end:
+                continue
+            log.error("message %s was not ended in time; given up", entry.id)
+            self.core.push(i.Withdrawn(entry.number))
+            self.conclude(entry, GIVEN_UP, 0)
--- /dev/null
+++ b/rainpier/node/intake.py
@@ -0,0 +1,125 @@
+"""Messages handed in, until the round that takes them on or refuses them.
+
+This room decides what can't be taken at all, and what is known already; the rest is the module's. It knows
+the store, what is owed, and which destinations there are; it sends nothing.
+"""
+
+import asyncio
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .. import interface as i
+from ..handed import Answer, Answered, Busy, Handed, Known, Taken, Wrong
+from ..policy import EVICT_AT
+from ..store.entry import Entry
+from .core import Core
+from .ends import Ends
+from .hosts import Hosts
+
+SPANS = 2  # times its class's deadline that a message may ask for at most
+DOOR_WAIT = 1000  # ms after which a client may come again where there is no room at all
+
+
+@dataclass(slots=True, eq=False)
+class Offer:
+    """A message on its way into a round."""
+
+    entry: Entry
+    answer: asyncio.Future[Answer]
+
+
+class Intake:
+    def __init__(self, core: Core, ends: Ends, hosts: Hosts) -> None:
+        self.core, self.store, self.ends, self.hosts = core, core.store, ends, hosts
+        self.offers: dict[int, Offer] = {}  # by number, until the next round
+        self.names: dict[str, Offer] = {}  # the same by id
+
+    def put(self, handed: Handed) -> Answered:
+        """A client hands in a message; a future, where a round has to decide."""
+        if wrong := self.wrong(handed):
+            return Wrong(wrong)
+        if offer := self.names.get(handed.id):
+            self.ends.redirect(offer.entry, handed)
+            return offer.answer
+        if self.store.knows(handed.id, self.core.now):  # guards against taking on twice what came twice
+            known = self.store.entries.get(self.store.state.numbers.get(handed.id, 0))
+            self.ends.redirect(known, handed)
+            return Known(owed=known is not None and not known.told)
+        if self.held >= self.core.s.max_open or not self.store.room(handed.body):
+            return Busy(DOOR_WAIT)
+        return self.offer(handed).answer
+
+    def wrong(self, handed: Handed) -> str:
+        """What is the matter with it in itself; "" where nothing is."""
+        core, dest = self.core, handed.destination
+        if handed.cls not in core.classes:
+            return f"unknown class {handed.cls}"
+        if handed.tenant and core.tenants and handed.tenant not in core.tenants:
+            return f"unknown tenant {handed.tenant}"
+        if not self.hosts.serves(dest):
+            return f"unknown destination {dest}"
+        if len(handed.body) > core.config.largest_body:
+            return f"body longer than {core.config.largest_body} bytes"
+        if handed.span > SPANS * core.s.classes[core.classes[handed.cls]].deadline:
+            return f"field d out of range: {handed.span}"
+        return ""
+
+    def offer(self, handed: Handed) -> Offer:
+        """To the next round, as an entry that is in no store yet."""
+        core, number = self.core, self.store.next
+        self.store.next += 1
+        cls = core.classes[handed.cls]
+        bound, tenant = core.s.classes[cls], core.tenants.get(handed.tenant, i.NO_TENANT)
+        key, deadline = handed.key if bound.in_order else 0, core.now + handed.span
+        entry = Entry(
+            number, handed.id, handed.cls, handed.destination, key, handed.token, deadline, handed.body
+        )
+        entry.effect, entry.group, entry.window = int(bound.effect), bound.group, bound.repeat_window
+        entry.reply_to, entry.correlation, entry.tenant = handed.reply_to, handed.correlation, handed.tenant
+        self.ends.owe(entry)
+        offer = self.offers[number] = self.names[handed.id] = Offer(entry, core.loop.create_future())
+        flags = handed.repeated, handed.inherited
+        core.push(i.Arrival(number, cls, handed.destination, deadline, key, tenant, *flags))
+        return offer
+
+    def take(self) -> dict[int, Offer]:
+        """What goes into the round that begins now."""
+        offers, self.offers, self.names = self.offers, {}, {}
+        return offers
+
+    def settle(self, offer: Offer, end: i.Refuse | i.Fail | None) -> None:
+        """A message is taken on once it is in the store, and only then is its client told so."""
+        entry, push = offer.entry, self.core.push
+        if end is None and self.store.take(entry):
+            self.ends.own(entry)
+            return self.store.sure(lambda: self.answer(offer, Taken()))
+        self.ends.unowe(entry)
+        if isinstance(end, i.Refuse):
+            answer: Answer = Busy(math.ceil(end.retry_after))
+        elif end is not None:
+            answer = Wrong("given up")
+        else:
+            answer = Busy(DOOR_WAIT)
+            push(i.Withdrawn(entry.number))
+        if end is not None and entry.key:
+            push(i.EndAnswered(entry.number, entry.key))
+        self.answer(offer, answer)
+
+    @staticmethod
+    def answer(offer: Offer, answer: Answer) -> None:
+        if not offer.answer.done():
+            offer.answer.set_result(answer)
+
+    @property
+    def held(self) -> int:
+        return len(self.store.entries) + len(self.offers)
+
+    @property
+    def full(self) -> bool:
+        """A message that is taken on now costs another one its place, or there is no room at all."""
+        return self.held >= max(1, math.floor(EVICT_AT * self.core.s.max_open)) or not self.store.room(b"")
+
+    @property
+    def entries(self) -> Iterator[Entry]:
+        return (offer.entry for offer in self.offers.values())
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -104,7 +104,7 @@
 
     async def listen_amqp(self, node: Node, config: Config) -> None:
         if config.amqp is not None:
-            self.front = Front(desk_of(node, config), config.amqp, lambda: node.full)
+            self.front = Front(desk_of(node, config), config.amqp, lambda: node.intake.full)
             await self.front.listen()
 
     @property
@@ -130,11 +130,12 @@
             "name": model.sidecar.name, "pid": os.getpid(), "file": str(self.path),
             "listen": write_address((model.resp.listen[0], self.clients.port)),
             "up_s": round(time.time() - self.started, 1),
-            "held": len(node.store.entries), "out": len(node.out), "ends_waiting": len(node.sink.waiting),
-            "no_room": node.stalled,  # attempts can't be recorded, so none begins
+            "held": len(node.store.entries), "out": len(node.calls.out),
+            "ends_waiting": len(node.sink.waiting),
+            "no_room": node.core.stalled,  # attempts can't be recorded, so none begins
             "clients": len(self.clients.connections),
             "amqp": self.front.status() if self.front is not None else None,
-            "store_bytes": node.store.size, "disk_bytes": node.config.disk,
+            "store_bytes": node.store.size, "disk_bytes": node.core.config.disk,
             "reload": {
                 "applied": self.reloader.applied, "rejected": self.reloader.rejected,
                 "last": self.reloader.last.as_json() if self.reloader.last else None,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -179,7 +179,8 @@
 
 def node_of(config):
     """A whole sender as the platform has it: its list and its notices at one address."""
-    return Node(config, Discovery(config.discovery), Notices(config.discovery))
+    known = {"hosts": config.known.get("hosts", [])}  # of no version: the whole list is asked for
+    return Node(config, Discovery(config.discovery, known), Notices(config.discovery))
 
 
 def command(*parts):
--- a/tests/standins/full.py
+++ b/tests/standins/full.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from rainpier.cli.main import main
-from rainpier.node import node
+from rainpier.node import core
 from rainpier.store.files import Folder
 
 
@@ -27,5 +27,5 @@
 
 
 if __name__ == "__main__":
-    node.Folder = Full
+    core.Folder = Full
     main()
--- a/tests/standins/station.py
+++ b/tests/standins/station.py
@@ -103,7 +103,7 @@
         config.state.mkdir(exist_ok=True)
         self.list = FileList(hosts(self.model))
         self.node = Node(config, self.list, self.sink)
-        self.front = Front(desk_of(self.node, config), config.amqp, lambda: self.node.full)
+        self.front = Front(desk_of(self.node, config), config.amqp, lambda: self.node.intake.full)
         await self.node.start()
         self.clients = Clients(self.node.put, 64)
         await self.clients.listen(("127.0.0.1", 0))
@@ -132,5 +132,5 @@
     async def settled(self, patience=20.0):
         """Until nothing is held any more."""
         async with asyncio.timeout(patience):
-            while self.node.store.entries or self.node.intake or self.sink.waiting:
+            while self.node.store.entries or self.node.intake.offers or self.sink.waiting:
                 await asyncio.sleep(0.01)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+from peers import host
 
 from rainpier.carriers.http.connection import Answer
 from rainpier.membership import platform
@@ -29,6 +30,9 @@
         pass
 
 
+KNOWN = {"seq": 5, "hosts": [host("r1", "127.0.0.1:1")]}
+
+
 async def ask(statuses, monkeypatch, **known):
     """A list's calls, with its pauses noted and not waited for."""
     desk, yielded = Desk(statuses), asyncio.sleep
@@ -48,13 +52,13 @@
 
 def test_what_is_known_is_not_asked_for_again(monkeypatch):
     """herd+vast: forty senders that restart asked for the whole list, and kept each other from it."""
-    desk = asyncio.run(ask([200], monkeypatch, seq=5))
+    desk = asyncio.run(ask([200], monkeypatch, known=KNOWN))
     assert [target.split("&")[0] for target in desk.targets] == ["/v1/servers?index=5", "/v1/servers?index=7"]
 
 
 def test_a_call_turned_away_loses_no_version(monkeypatch):
     """herd+vast: after each 503 the whole list was asked for, which costs more than what changed."""
-    desk = asyncio.run(ask([503, 503, 200], monkeypatch, seq=5))
+    desk = asyncio.run(ask([503, 503, 200], monkeypatch, known=KNOWN))
     assert all("index=" in target for target in desk.targets) and len(desk.targets) == 4
 
 
@@ -62,7 +66,7 @@
 def test_those_turned_away_together_come_back_spread(senders, least, most, monkeypatch):
     """herd+vast: 34 of 40 were turned away and came again 100 ms later, in step, for half a minute."""
     random.seed(4)
-    desks = [asyncio.run(ask([503], monkeypatch, seq=5, senders=senders)) for _ in range(30)]
+    desks = [asyncio.run(ask([503], monkeypatch, known=KNOWN, senders=senders)) for _ in range(30)]
     firsts = sorted(desk.pauses[-1] for desk in desks)
     assert firsts[-1] - firsts[0] >= least and firsts[-1] <= most
     if senders == 3:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -36,18 +36,18 @@
                     gone = [entry | {"health": "DELETED"} for entry in agent.hosts[-20:]]
                     fresh = [host(f"r{turn}-{n}", receiver.dial) for n in range(20)]
                     agent.change(*gone, *fresh)
-                    await until(lambda fresh=fresh: fresh[-1]["host"] in node.hosts)
-                await until(lambda: len(node.hosts) <= 20)
+                    await until(lambda fresh=fresh: fresh[-1]["host"] in node.hosts.numbers)
+                await until(lambda: len(node.hosts.numbers) <= 20)
                 module = node.sender
-                left = sizes(module, ("live", "calls", "lines", "rests")) | sizes(node, ("out", "names", "intake"))
+                left = sizes(module, ("live", "calls", "lines", "rests")) | sizes(node.calls, ("out",)) | sizes(node.intake, ("names", "offers"))
                 assert not any(left.values()), left
-                assert len(module.endpoints) == len(node.hosts) == len(node.receivers.listed) == 20
-                assert len(module.routes) == len(node.destinations) == 1 and not module.held
+                assert len(module.endpoints) == len(node.hosts.numbers) == len(node.calls.receivers.listed) == 20
+                assert len(module.routes) == len(node.hosts.destinations) == 1 and not module.held
                 assert [len(routes) for routes in module.routes.values()] == [1]
-                await until(lambda: not len(node.told_until))
-                assert not node.receivers.calls and len(node.receivers.parked) <= 8
-                assert not len(node.late) and not node.held
-                assert not node.forgotten and not node.store.numbers and not node.store.sizes
+                await until(lambda: not len(node.calls.waits.until))
+                assert not node.calls.receivers.calls and len(node.calls.receivers.parked) <= 8
+                assert not len(node.ends.late) and not node.ends.held
+                assert not node.hosts.forgotten and not node.store.numbers and not node.store.sizes
                 assert len(asyncio.all_tasks()) < 40 and sys.getrefcount(node) < 100
 
     drive(story())
@@ -63,7 +63,7 @@
                 assert await client.ask(put("one")) == "OK"
                 await receiver.next()
                 agent.change(host("old", receiver.dial, health="DELETED"), host("new", receiver.dial))
-                await until(lambda: "new" in node.hosts and "old" not in node.hosts)
+                await until(lambda: "new" in node.hosts.numbers and "old" not in node.hosts.numbers)
                 assert await client.ask(put("two")) == "OK"
                 assert (await receiver.next())[1][b"x-call-id"] == b"two"
                 assert receiver.accepted == 2  # the old one's connection was not used
@@ -82,11 +82,11 @@
                 assert await client.ask(put("one", cls="unsafe")) == "OK"
                 await receiver.next()
                 agent.change(host("r1", receiver.dial, health="DELETED"), host("r9", "127.0.0.1:1", block=9))
-                await until(lambda: "r9" in node.hosts)
+                await until(lambda: "r9" in node.hosts.numbers)
                 await asyncio.sleep(0.2)
-                assert "r1" in node.hosts  # its call still binds
+                assert "r1" in node.hosts.numbers  # its call still binds
                 answer.set_result((200, [], b""))
-                await until(lambda: not node.store.entries and "r1" not in node.hosts)
+                await until(lambda: not node.store.entries and "r1" not in node.hosts.numbers)
                 assert agent.notices.empty()
 
     drive(story())
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -69,7 +69,7 @@
             waits.clear()
             node, stop = await begin(tmp_path, agent, destinations={"thumbs": 3})
             await receiver.next()
-            assert node.now >= told - 20
+            assert node.core.now >= told - 20
             await until(lambda: not node.store.entries)
             await stop()
 
@@ -122,7 +122,7 @@
 def slow(monkeypatch):
     Slow.go, Slow.syncs, Slow.fail = threading.Event(), 0, False
     Slow.go.set()  # the start's own are let through
-    monkeypatch.setattr("rainpier.node.node.Folder", Slow)
+    monkeypatch.setattr("rainpier.node.core.Folder", Slow)
     yield Slow
     Slow.go.set()
 
@@ -158,7 +158,7 @@
                 asked = asyncio.create_task(client.ask(put("one", cls="unsafe")))
                 await until(lambda: any(entry.begun for entry in node.store.entries.values()))
                 agent.change(host("r1", receiver.dial, health="DRAINING"))
-                await until(lambda: node.receivers.listed[1].told_at < 1e12)
+                await until(lambda: node.calls.receivers.listed[1].told_at < 1e12)
                 await asyncio.sleep(0.35)  # beyond half of the drain grace
                 slow.go.set()
                 assert await asked == "OK"
@@ -178,13 +178,13 @@
             for client in clients:
                 await client.__aenter__()
             slow.go.clear()
-            before = node.commit.commits
+            before = node.core.commit.commits
             asked = [asyncio.create_task(client.ask(put(f"m{n}"))) for n, client in enumerate(clients)]
             await until(lambda: len(node.store.entries) == 20)
             slow.go.set()
             assert await asyncio.gather(*asked) == ["OK"] * 20
             await until(lambda: not node.store.entries)
-            assert node.commit.commits - before <= 2 + 20  # the one under way, one for the rest; 20 attempts at most
+            assert node.core.commit.commits - before <= 2 + 20  # the one under way, one for the rest; 20 attempts at most
             for client in clients:
                 await client.__aexit__()
             await stop()
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -122,8 +122,8 @@
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
                 assert not node.sender.routes  # nothing but the list is kept of any
                 agent.change(*others, host("old", old.dial, health=health), host("new", new.dial))
-                await until(lambda: "new" in node.hosts)
-                await node.listing.done()
+                await until(lambda: "new" in node.hosts.numbers)
+                await node.hosts.listing.done()
                 assert await client.ask(put("one")) == "OK"
                 assert (await new.next())[1][b"x-call-id"] == b"one"
                 assert old.requests.empty()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -180,7 +180,7 @@
                 assert await agent.notice() == {"message": "short", "outcome": "given_up"}
                 gate.set_result((200, [], b'[{"id":"short","state":"delivered"},{"id":"long","state":"delivered"}]'))
                 await until(lambda: not node.store.entries)
-                assert agent.notices.empty() and not node.out
+                assert agent.notices.empty() and not node.calls.out
 
     drive(story())
 
@@ -192,18 +192,18 @@
         async with HttpPeer(lambda request, body: (429, [("X-Retry-In-Ms", "700")], b"")) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
-                connect, gate = node.receivers.connect, asyncio.Event()
+                connect, gate = node.calls.receivers.connect, asyncio.Event()
 
                 async def slow(to):
                     if receiver.accepted:
                         await gate.wait()
                     return await connect(to)
 
-                node.receivers.connect = slow
+                node.calls.receivers.connect = slow
                 assert await client.ask(put("one")) == "OK"
                 await until(lambda: receiver.accepted)
                 assert await client.ask(put("two")) == "OK"
-                await until(lambda: len(node.told_until))
+                await until(lambda: len(node.calls.waits.until))
                 told = asyncio.get_running_loop().time()
                 gate.set()
                 await receiver.next()
@@ -218,17 +218,17 @@
         async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
             async with sender(tmp_path, agent, rules={"drain-grace": 200.0}) as node, Client(node.port) as client:
-                connect, gate = node.receivers.connect, asyncio.Event()
+                connect, gate = node.calls.receivers.connect, asyncio.Event()
 
                 async def slow(to):
                     await gate.wait()
                     return await connect(to)
 
-                node.receivers.connect = slow
+                node.calls.receivers.connect = slow
                 assert await client.ask(put("one", d=3000)) == "OK"
                 await until(lambda: agent.asked and "index" in agent.asked[-1][0])
                 agent.change(host("r1", receiver.dial, health="DRAINING"))
-                await until(lambda: node.receivers.listed[1].told_at < 1e12)
+                await until(lambda: node.calls.receivers.listed[1].told_at < 1e12)
                 await asyncio.sleep(0.2)
                 gate.set()
                 assert (await agent.notice())["outcome"] == "handed_back"
@@ -291,7 +291,7 @@
                 await until(lambda: len(agent.asked) >= 3)  # the watch was silent, and is asked for again
                 (first, _), (second, _) = agent.asked[:2]
                 assert first == "/v1/servers" and second.startswith("/v1/servers?index=1&wait=")
-                gone = node.receivers.listed[node.hosts["old"]].listed.condition
+                gone = node.calls.receivers.listed[node.hosts.numbers["old"]].listed.condition
                 assert gone is i.Condition.GONE
                 assert await client.ask(put("one")) == "OK"  # with the list as it is
                 await receiver.next()
