--- a/rainpier/carriers/amqp/brokers.py
+++ b/rainpier/carriers/amqp/brokers.py
@@ -8,8 +8,9 @@
 from pamqp import commands
 
 from ... import interface as i
+from ...attempt.table import Event
 from ...store.entry import Entry
-from ..http.receivers import NO_DESCRIPTOR, Call, Early, Ending, MayWrite
+from ..http.receivers import NO_DESCRIPTOR, Call, Early, Ending, MayWrite, leave
 from .link import Link, NoLink, connect
 from .options import BrokerOptions
 from .outcomes import TABLE, Lane, Publish, What
@@ -145,8 +146,7 @@
         while self.lanes(call, link) is None:
             await link.change()
         self.look(link)
-        allowed = may_write(call)
-        if not (allowed if isinstance(allowed, bool) else await allowed):
+        if not await leave(call, may_write):
             raise Unsent(What.NOT_ALLOWED)
         self.look(link)  # once more: leave may have taken a while
         lanes = self.lanes(call, link)
@@ -178,7 +178,8 @@
     def publish(self, call: Call, link: Link, lanes: list[Lane], out: list[Publish]) -> None:
         """Adds each to `out` as it is written: whatever fails between two, the first one may have run."""
         link.calls += 1
-        call.uses, call.written = link.calls, True
+        call.uses = link.calls
+        call.attempt.feed(Event.SENT)  # as far as proof goes: what is written behind here may have run
         try:
             for entry, lane in zip(call.entries, lanes, strict=True):
                 route, told = self.options.route(entry), self.properties(entry)
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from ... import interface as i
+from ...attempt.table import Attempt, Event
 from ...interface import Outcome
 from ...store.entry import Entry
 from .connection import BROKEN, Answer, Connection, Spoilt, request
@@ -73,7 +74,7 @@
     until: float  # loop time, s
     settled: set[int] = field(default_factory=set)  # messages whose attempt has its outcome already
     task: asyncio.Task | None = None
-    written: bool = False
+    attempt: Attempt = field(default_factory=Attempt)
     open: bool = True
     uses: int = 0  # of the connection that it travels on, this one included
 
@@ -91,6 +92,18 @@
 MayWrite = Callable[[Call], bool | asyncio.Future[bool]]
 
 
+async def leave(call: Call, may_write: MayWrite) -> bool:
+    """The connection is there: whether the first byte may go out now. What it may wait for is the record."""
+    allowed = may_write(call)
+    if not isinstance(allowed, bool):
+        call.attempt.feed(Event.UP)
+        allowed = await allowed
+    elif allowed:
+        call.attempt.feed(Event.UP)
+    call.attempt.feed(Event.RECORDED if allowed else Event.HELD_BACK)
+    return allowed
+
+
 def batches(entries: list[Entry], most: int) -> Iterator[list[Entry]]:
     """As many messages to a call as its kind allows and a body holds."""
     batch: list[Entry] = []
@@ -226,29 +239,29 @@
         try:
             async with asyncio.timeout_at(call.until):
                 connection = await self.connect(call.receiver)
-                allowed = self.may_write(call)
-                if allowed if isinstance(allowed, bool) else await allowed:
+                if await leave(call, self.may_write):
                     call.uses = connection.uses + 1
                     await connection.send(self.request(call), self.most_answer(call))
-                    call.written = True
+                    call.attempt.feed(Event.SENT)
                     ending = read_ending(call, await connection.answer(), self.s.report_fields)
+                    call.attempt.feed(Event.ANSWER)
                 else:
                     ending = self.all(call, Outcome.MOOT)
         except TimeoutError:
-            ending = self.broken(call, connection, Outcome.TIMEOUT)
+            ending = self.broken(call, connection, Event.TIMED_OUT)
         except Spoilt as error:
-            ending = self.spoilt(call, connection, error)
+            log.info("spoilt answer of %s: %s", call.receiver.host, error)
+            ending = self.broken(call, connection, Event.SPOILT)
         except BROKEN as error:
-            ending = self.broken(call, connection, Outcome.RESET)
-            if connection is None and isinstance(error, OSError) and error.errno in NO_DESCRIPTOR:
-                # Guards the module's view: a lack of this process's own says nothing of the receiver.
+            short = connection is None and isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
+            if short:
                 log.warning("no connection to %s: %s", call.receiver.host, error)
-                ending = self.all(call, Outcome.MOOT)
+            ending = self.broken(call, connection, Event.NO_SOCKET if short else Event.BROKE)
         except asyncio.CancelledError:  # called off: the task has nothing else to wait for
-            ending = self.called_off(call, connection)
+            ending = self.broken(call, connection, Event.CALLED_OFF)
         except Exception:
             log.exception("call to %s failed", call.receiver.host)
-            ending = self.broken(call, connection, Outcome.RESET)
+            ending = self.broken(call, connection, Event.BROKE)
         self.finish(call, connection, ending)
 
     @staticmethod
@@ -260,39 +273,23 @@
     def all(call: Call, outcome: Outcome) -> Ending:
         return Ending([(outcome, False)] * len(call.entries))
 
-    def broken(self, call: Call, connection: Connection | None, outcome: Outcome) -> Ending:
-        """Whether the last byte was written decides whether it may have run; a head of 200, that it has."""
+    def broken(self, call: Call, connection: Connection | None, event: Event) -> Ending:
+        """It ended without a whole answer: the table knows what that proves."""
+        if connection is not None and connection.status == 200 and len(call.entries) == 1:
+            call.attempt.feed(Event.ACCEPT)  # true whatever became of the rest, and of our own last bytes
+        outcome = call.attempt.feed(event)
+        assert outcome is not None  # each event that comes here ends an attempt
         # Guards against machines that vanished: what is written on their old connections may have run for all
-        # that is known, while a new one that does not come up proves that it never did.
-        if outcome is not Outcome.RESET or call.uses != 1:  # a new one's end says nothing of others
+        # that is known, while a new one that does not come up proves that it never did. Not for a new one's
+        # end, which says nothing of others, nor for a receiver that answers or is called off while it works.
+        spares = event is Event.SPOILT or event is Event.CALLED_OFF and connection is not None
+        if not spares and (event is not Event.BROKE or call.uses != 1):
             self.close_idle(call.receiver)
-        if not call.written:
-            return self.all(call, Outcome.CONNECT_FAILED)
-        return self.all(call, Outcome.OK if self.delivered(call, connection) else outcome)
-
-    def called_off(self, call: Call, connection: Connection | None) -> Ending:
-        # Guards against a silent machine that is never found out: while slots are short, calls are called off
-        # about when a connection that does not come up is given up, and to be called off says nothing of
-        # where it went. Each next call went there again, and took a slot for as long.
-        if connection is None:
-            return self.broken(call, None, Outcome.CONNECT_FAILED)
-        if not call.written:
-            return self.all(call, Outcome.MOOT)
-        return self.all(call, Outcome.OK if self.delivered(call, connection) else Outcome.CANCELLED)
-
-    def spoilt(self, call: Call, connection: Connection | None, error: Spoilt) -> Ending:
-        """The receiver is there and has answered, so this says nothing of its other connections."""
-        call.written = True  # it answers calls that it has
-        log.info("spoilt answer of %s: %s", call.receiver.host, error)
-        ending = self.all(call, Outcome.OK if self.delivered(call, connection) else Outcome.ERROR)
-        ending.wait = told_wait(connection.headers) if connection is not None else 0.0
+        ending = self.all(call, outcome)
+        if event is Event.SPOILT and connection is not None:
+            ending.wait = told_wait(connection.headers)
         return ending
 
-    @staticmethod
-    def delivered(call: Call, connection: Connection | None) -> bool:
-        """A first line of 200 is true for a call with one message, whatever became of the rest."""
-        return connection is not None and connection.status == 200 and len(call.entries) == 1
-
     def finish(self, call: Call, connection: Connection | None, ending: Ending) -> None:
         """Close or keep the connection first: no new try may begin while an old one's is open."""
         call.open = False
--- a/rainpier/node/calls.py
+++ b/rainpier/node/calls.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from .. import interface as i
+from ..attempt.rules import RULES, may_repeat
 from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
 from ..config.place import Config
 from ..store.entry import Entry
@@ -81,6 +82,7 @@
         if receiver is None:
             return
         owed = [self.store.entries[message] for message in timeouts if message in self.store.entries]
+        owed = [entry for entry in owed if self.may_begin(entry, receiver.listed)]
         for entries in batches(owed, receiver.batch):
             longest = max(timeouts[entry.number] for entry in entries)
             call = Call(receiver, entries, [entry.attempts for entry in entries], now, now + longest / 1000)
@@ -95,6 +97,16 @@
 
     # --- before the first byte ---
 
+    def may_begin(self, entry: Entry, listed: i.Listed) -> bool:
+        """Guards against a decision that would send what may not be sent: it is logged, and not done."""
+        repeat = may_repeat(entry, self.core.now, listed.zone)
+        if RULES.may_begin(entry.number in self.out, bool(entry.end), repeat):
+            return True
+        log.error("message %s may not be sent now, and is not", entry.id)
+        entry.attempts += 1  # as the module counts them
+        self.core.push(i.Result(entry.number, entry.attempts - 1, listed.endpoint, i.Outcome.MOOT))
+        return False
+
     def may_write(self, call: Call) -> bool | asyncio.Future[bool]:
         """The connection is up, and the first byte goes out now: unless something was told meanwhile."""
         if not self.may_go(call):
@@ -110,9 +122,26 @@
         return sure
 
     def may_go(self, call: Call) -> bool:
-        """Guards drains and waits against calls whose connection took long to come up."""
-        drained = self.core.loop.time() - call.receiver.told_at
-        return drained <= self.core.s.drain_grace / 2000 and self.waits.over(call.receiver.listed)
+        """Guards drains, waits, ends and windows against calls whose connection took long to come up."""
+        listed, now = call.receiver.listed, self.core.now
+        drained = self.core.loop.time() - call.receiver.told_at > self.core.s.drain_grace / 2000
+        waiting = not self.waits.over(listed)
+        if waiting or drained:
+            return False
+        for entry in list(call.entries):
+            if not RULES.may_write(waiting, drained, bool(entry.end), may_repeat(entry, now, listed.zone)):
+                self.take_out(call, entry)
+        return bool(call.entries)
+
+    def take_out(self, call: Call, entry: Entry) -> None:
+        """Nothing of it has left, and nothing will: its attempt is over, the call goes on without it."""
+        at = next(n for n, one in enumerate(call.entries) if one is entry)
+        attempt = call.attempts[at]
+        del call.entries[at], call.attempts[at]
+        call.settled.add(entry.number)
+        if entry.begun:
+            self.store.results([(entry, i.Outcome.MOOT)])
+        self.settle(call, entry, attempt, i.Outcome.MOOT, False, Ending([]))
 
     # --- outcomes ---
 
@@ -155,6 +184,8 @@
     def expire(self, call: Call, entry: Entry) -> None:
         """A message's own time is up while its call goes on for the others."""
         if call.open and entry.number not in call.settled:
+            if not call.attempt.begun:
+                return self.take_out(call, entry)
             call.settled.add(entry.number)
             self.store.results([(entry, i.Outcome.TIMEOUT)])
             attempt = call.attempts[call.entries.index(entry)]
--- a/rainpier/node/ends.py
+++ b/rainpier/node/ends.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Container
 
 from .. import interface as i
+from ..attempt.rules import RULES, harmless
 from ..handed import Handed
 from ..sinks.sink import Sink
 from ..store.entry import Entry
@@ -84,7 +85,7 @@
 
     def delivered(self, entry: Entry, outcome: i.Outcome) -> None:
         """Its call closed it, and no end was decided before."""
-        if not entry.end:
+        if RULES.tells_delivery(bool(entry.end)):
             self.tell(entry, DELIVERED if outcome is i.Outcome.OK else OVER)
 
     # --- ends without delivery ---
@@ -93,7 +94,10 @@
         entry = self.store.entries.get(action.message)
         if entry is None or entry.end:
             return
-        if isinstance(action, i.Refuse):
+        safe = harmless(entry, self.core.now)
+        if isinstance(action, i.Refuse) and not safe:
+            log.error("message %s may have run, and is given up, not refused", entry.id)
+        if isinstance(action, i.Refuse) and safe:
             self.conclude(entry, HANDED_BACK, math.ceil(action.retry_after))
         else:
             self.conclude(entry, GIVEN_UP, 0)
@@ -120,12 +124,12 @@
         """The sink has passed these on."""
         self.over(entries)
         for entry in entries:
-            if entry.number not in self.out:
-                self.release(entry)
+            self.release(entry)
 
     def release(self, entry: Entry) -> None:
-        """None of its calls is open: once its notice is answered its key's next message may go."""
-        if entry.key and entry.number not in self.store.entries:
+        """Once its notice is answered and none of its calls is open its key's next message may go."""
+        over = entry.number not in self.store.entries
+        if entry.key and RULES.moves_on(over, entry.number in self.out):
             self.core.push(i.EndAnswered(entry.number, entry.key))
 
     def sweep(self) -> None:
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..attempt.rules import RULES
 from ..interface import Outcome
 
 
@@ -34,7 +35,7 @@
 
     def settle(self, outcome: Outcome) -> None:
         """The attempt that was out has this outcome."""
-        if not outcome.never_ran and not self.risky_at:
+        if RULES.risky(False, outcome) and not self.risky_at:
             self.risky_at, self.risky_zone = self.begun, self.begun_zone
         self.begun = 0.0
 
--- /dev/null
+++ b/tests/attempt/test_mended.py
@@ -0,0 +1,96 @@
+"""What the explorer's stories showed of the sender as it was, played on loopback sockets."""
+
+import asyncio
+import struct
+
+from peers import Agent, Client, HttpPeer, drive, host, put, until
+from test_node import sender
+from test_receivers import Bench, outcomes
+
+from rainpier.interface import Outcome as O
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+
+def test_a_first_line_of_200_ahead_of_our_last_byte_delivers():
+    """Story: the call is written in part; the endpoint runs it and says 200; its connection ends. It counted as never
+    run, so a usage charge went out again."""
+
+    async def story():
+        async def early(reader, writer):
+            await reader.readexactly(1000)
+            writer.write(OK)
+            await writer.drain()
+            await asyncio.sleep(0.2)  # the line is read before the end
+            linger = struct.pack("ii", 1, 0)  # a reset, and not an orderly end
+            writer.get_extra_info("socket").setsockopt(1, 13, linger)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(early, "127.0.0.1", 0, limit=2048)
+        bench = Bench(server.sockets[0].getsockname()[1])
+        ending = await bench.call("a", body=b"x" * 30_000_000)
+        assert outcomes(ending) == [O.OK]
+        server.close()
+
+    drive(story())
+
+
+def held_connections(node):
+    """Connections come up once the gate is open; `begun` counts those that wait."""
+    connect, gate, begun = node.calls.receivers.connect, asyncio.Event(), []
+
+    async def slow(to):
+        begun.append(to)
+        await gate.wait()
+        return await connect(to)
+
+    node.calls.receivers.connect = slow
+    return gate, begun
+
+
+def test_an_unsafe_message_whose_time_ended_before_it_was_written_is_handed_back_and_never_written(tmp_path):
+    """Story: two messages wait for one connection; the time of one is up; the connection comes up. It was told as
+    failed, since it might have run, and written all the same."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial, kind="bulk")]
+            limits = {"policy-limits": {"connect-timeout": 5000.0}}
+            async with sender(tmp_path, agent, **limits) as node, Client(node.port) as client:
+                gate, begun = held_connections(node)
+                client.writer.write(put("short", cls="unsafe", d=700) + put("long", cls="unsafe", d=8000))
+                assert [await client.answer() for _ in range(2)] == ["OK", "OK"]
+                await until(lambda: begun)
+                notice = await agent.notice()
+                assert (notice["message"], notice["outcome"]) == ("short", "handed_back")
+                gate.set()
+                target, headers, _ = await receiver.next()
+                assert target == "/v1/messages"  # alone in its call
+                assert headers[b"x-call-id"] == b"long"
+
+    drive(story())
+
+
+def test_a_keyed_message_is_not_written_again_once_its_window_closed_while_its_connection_came_up(tmp_path):
+    """Story: a keyed message may have run; it is sent again just inside its window; the connection comes up after it.
+    The endpoint no longer knew its key."""
+
+    async def story():
+        answers = [lambda: 500]
+        async with HttpPeer(lambda request, body: (answers[0](), [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                assert await client.ask(put("one", cls="keyed", d=15000, more=",k=token")) == "OK"
+                await receiver.next()
+                await until(lambda: [e for e in node.store.entries.values() if e.risky_at])
+                (entry,) = node.store.entries.values()
+                gate, begun = held_connections(node)
+                node.calls.receivers.close_idle(node.calls.receivers.listed[1])
+                await until(lambda: begun)
+                entry.window = node.core.now - entry.risky_at - 1.0  # it has closed meanwhile
+                answers[0] = lambda: 200
+                gate.set()
+                await until(lambda: not node.calls.out)
+                assert receiver.requests.empty()
+
+    drive(story())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -213,3 +213,12 @@
         attempt, endpoint = rig.last[n]
         shut += closes(rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), True), after=50.0))
     assert 5 <= len(shut) <= 15 and rig.now < begun + 30000.0  # sooner than by time alone
+
+
+def test_thousands_that_end_together_are_all_answered_in_that_round():
+    """A destination that is gone for longer than all that is held for it may wait."""
+    rig = Rig(senders=40, max_open=6000, endpoints=())
+    rig.do(*(i.Arrival(n, 0, 1, rig.now + 1000.0) for n in range(5000)))
+    told = rig.do(after=975.0)
+    assert len({a.message for a in told if isinstance(a, i.Refuse | i.Fail)}) == 5000
+    assert not rig.sender.live
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -10,6 +10,7 @@
 from peers import SETTINGS, HttpPeer, Peer, drive, until
 
 from rainpier import interface as i
+from rainpier.attempt.table import State
 from rainpier.carriers.http.receivers import Call, Receivers, batches, load_report, told_wait
 from rainpier.config.platform import settings
 from rainpier.interface import Outcome as O
@@ -231,7 +232,7 @@
         async with HttpPeer(lambda request, body: answers[body]) as peer:
             bench = Bench(peer.port)
             slow = bench.start("a", body=b"slow")
-            await until(lambda: slow.written)
+            await until(lambda: slow.attempt.state is State.WRITTEN)
             assert outcomes(await bench.call("b", body=b"good")) == [O.OK]
             (kept,) = bench.receiver.idle
             bench.receiver.idle.clear()  # so that the next call opens a new one
