--- a/tests/attempt/test_mended.py
+++ b/tests/attempt/test_mended.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import struct
+import subprocess
+import sys
 
 from peers import Agent, Client, HttpPeer, drive, host, put, until
 from test_node import sender
 from test_receivers import Bench, outcomes
 
+from rainpier import interface as i
 from rainpier.interface import Outcome as O
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
@@ -94,3 +97,35 @@
                 assert receiver.requests.empty()
 
     drive(story())
+
+
+def test_a_decision_that_the_rules_forbid_is_logged_and_not_carried_out(tmp_path, caplog):
+    """A module that sends an unsafe message again after a time in which it may have run, and then refuses it."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: None) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                handle, wrong = node.sender.handle, []
+
+                def decide(now, events):
+                    actions = handle(now, events)
+                    fails = [a for a in actions if isinstance(a, i.Fail)]
+                    wrong.extend(fails)
+                    bad = [i.Send(a.message, 1, 1000.0) for a in fails] + [i.Refuse(a.message, 5.0) for a in fails]
+                    return [a for a in actions if a not in fails] + bad
+
+                node.sender.handle = decide
+                assert await client.ask(put("one", cls="unsafe")) == "OK"
+                assert (await agent.notice())["outcome"] == "given_up" and wrong
+                await receiver.next()
+                assert receiver.requests.empty()
+
+    drive(story())
+    assert "may not be sent now" in caplog.text and "is given up, not refused" in caplog.text
+
+
+def test_the_platforms_sender_loads_the_tables_and_not_their_explorer():
+    code = "import sys, rainpier.__main__ as m; print(*(n for n in sys.modules if n.startswith('rainpier.attempt.')))"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    assert sorted(loaded) == ["rainpier.attempt.rules", "rainpier.attempt.table"]
