Test that what was ended while its connection came up is not written

Need: the fourth of the explorer's stories was mended by the same check as the others, and had no test: with the end left out of that check all tests passed.

Measured: with the end left out the test fails; with it all six of the stories' tests pass.

--- a/tests/attempt/test_mended.py
+++ b/tests/attempt/test_mended.py
@@ -129,3 +129,23 @@
     code = "import sys, rainpier.__main__ as m; print(*(n for n in sys.modules if n.startswith('rainpier.attempt.')))"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
     assert sorted(loaded) == ["rainpier.attempt.rules", "rainpier.attempt.table"]
+
+
+def test_a_message_whose_end_was_decided_while_its_connection_came_up_is_not_written(tmp_path):
+    """Story: a call connects; its message is given up by the sweep; the connection comes up."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                gate, begun = held_connections(node)
+                assert await client.ask(put("one")) == "OK"
+                await until(lambda: begun)
+                (entry,) = node.store.entries.values()
+                node.ends.conclude(entry, "given_up", 0)
+                assert await agent.notice() == {"message": "one", "outcome": "given_up"}
+                gate.set()
+                await until(lambda: not node.calls.out)
+                assert receiver.requests.empty()
+
+    drive(story())
