--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -17,8 +17,9 @@
 SPARE = 1.5  # s beyond that after which discovery counts as silent and is asked again
 LIST_TIMEOUT = 2.0  # s for the whole list, which comes at once or not at all
 PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
-FEW = 4  # senders that may all ask at once
-TURN = 0.25  # s for each sender more: the span over which calls are spread by chance
+FEW = 4  # senders that may all ask again at once
+TURN = 0.25  # s for each sender more: the span over which calls that were turned away are spread by chance
+ALL_CALL = 8.0  # s in which discovery takes a call from every sender, however many (all_call_s, at the most)
 FULL = 5.0  # s between calls at most, or that span, while discovery turns them away
 MAX_LIST = 4 << 20  # bytes of an answer's body
 MAX_NAME = 256
@@ -73,7 +74,7 @@
     def __init__(self, address: tuple[str, int], known: dict | None = None, senders: int = 1) -> None:
         """`known`: a list that was had before, in discovery's form; only what changed since is asked for."""
         self.address, self.client = address, Client(address, MAX_LIST)
-        self.span = TURN * max(0, senders - FEW)
+        self.span = min(TURN * max(0, senders - FEW), ALL_CALL)
         self.told: Told = lambda kind, hosts: None
         self.known = read_hosts(known) if known else []
         self.seq = read_seq(known or {})
@@ -103,10 +104,8 @@
         self.go()
 
     async def run(self) -> None:
-        # Guards against a fleet that starts in step: its calls fill discovery's queue, and the few that get
-        # through it are those that came first. The known list serves until then.
-        if self.seq is not None:
-            await asyncio.sleep(random.uniform(0.0, self.span / 2))
+        # The first call is not delayed: what the agent has counts as told, whether or not it was asked, and a
+        # drain binds from then on. A fleet that starts in step is spread once discovery has too much to do.
         wait, silent = PAUSE, False
         while True:
             try:
