--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -184,7 +184,10 @@
         # Guards the return from an outage: what each may send adds up to no more than the rule's multiple. By
         # a list that is far too low that is little: it grows while all calls pass, as no other of many tells.
         warm = 0.0 if self.down else (now - self.cold_at) / self.s.cold
-        share = self.s.cold_from + (1 - self.s.cold_from) * warm
+        return self.returning(self.s.cold_from + (1 - self.s.cold_from) * warm)
+
+    def returning(self, share: float) -> float:
+        """Calls a second to one that can do so much of what it does when warm."""
         own = max(self.base, self.vouched)
         least = self.floor / self.spread if self.listed else self.floor
         return max(own * self.s.overload_factor * share * RAMP_MARGIN * self.gain, least)
@@ -789,6 +792,9 @@
             self.acts.append(i.CloseIdle(endpoint.info.endpoint))
         if was or route.sparse:  # space the next trial by chance, so that senders do not come in step
             most = min(self.s.fall / 4 * route.spread**2, 2 * self.s.cold)  # all together as few as FLEET
+            # Nor so seldom, of hundreds, that a large one is found again only when it is warm: in the mean of
+            # the draw, half of the most, trials come as often as calls will once it answers.
+            most = min(most, 2000 / route.returning(self.s.cold_from))
             route.trial_wait = self.draw(max(route.trial_wait, most * route.sparse / 3), most)
         if event.outcome is Outcome.OK:
             endpoint.fails, endpoint.fulls, endpoint.warm = 0, 0, self.now
