--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -374,6 +374,7 @@
             self.acts.append(i.CloseIdle(endpoint.info.endpoint))
         if was or route.sparse:  # space the next trial by chance, so that senders do not come in step
             most = min(self.s.fall / 4 * route.spread**2, 2 * self.s.cold)  # all together as few as FLEET
+            most = min(most, 2000 / route.returning(self.s.cold_from))
             route.trial_wait = self.draw(max(route.trial_wait, most * route.sparse / 3), most)
         if event.outcome is Outcome.OK:
             endpoint.fails, endpoint.fulls, endpoint.warm = 0, 0, self.now
