--- a/benchmarks/fleet_return.py
+++ b/benchmarks/fleet_return.py
@@ -3,8 +3,8 @@
     python benchmarks/fleet_return.py [--against FOLDER] [--senders N] [--seeds N]
 
 In simulated time (tests/standins/fleet.py): the worth, refused calls for each that passed, and the most that
-was sent in three seconds after the return, as a share of what the rule on returns allows (calls; the model has
-no work). `--against` names another checkout, whose module is played on the same seeds: it prints both.
+was sent in three seconds after the return, as a share of what the rule on returns allows (calls; the model
+has no work). `--against` names another checkout, whose module is played on the same seeds: it prints both.
 The last line is the worth with a right list, refused calls not counted.
 """
 
