--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import replace
 
 from . import interface as i
@@ -28,6 +28,7 @@
 CUT = 0.8  # of the pace is kept after a refusal above the limit
 RAISE = 0.04  # growth of the pace a second, for each second without a refusal: slow near a limit, then bolder
 SPARING = 1.3  # power of the spread (Route) by which many senders grow more slowly than few
+NEED = 0.01  # share of the need by which a pace that is all of it would grow a second: see Route.needed
 KNEE = 0.9  # of the pace at which one of many was refused: it is back there in RETURN
 DOUBTED = 4.0  # times slower at most is what the list vouches for given back: doubled by each cut, and
 PASSED = 4  # calls in a row, none refused, halve that
@@ -108,8 +109,8 @@
     __slots__ = (
         "base", "batch", "best", "cold_at", "counted_at", "crowd_wait", "cut_at", "doubt", "endpoints",
         "failing", "fails", "first_full", "flight", "floor", "fulls", "gain", "knee", "known", "latency",
-        "next_at", "ok_at", "pace", "passed", "pressed", "raised_at", "risk", "s", "sent", "sparse", "spread",
-        "trial_at", "trial_wait", "used_at", "wait_until", "window",
+        "need", "next_at", "ok_at", "pace", "passed", "patience", "pressed", "raised_at", "refusals",
+        "risk", "s", "sent", "sparse", "spread", "trial_at", "trial_wait", "used_at", "wait_until", "window",
     )  # fmt: skip
 
     def __init__(self, settings: i.Settings) -> None:
@@ -117,6 +118,7 @@
         self.spread = max(1.0, math.sqrt(settings.senders / FLEET))  # not all of them hold a message for it
         self.sparse = 1 - 1 / self.spread  # how surely this sender's calls are few among many
         self.floor = 1000 / settings.fall / self.spread  # calls a second, whatever was seen
+        self.patience = min((cls.deadline for cls in settings.classes), default=math.inf) / 2  # ms
         self.reset()
 
     def reset(self) -> None:
@@ -132,6 +134,8 @@
         self.batch = math.inf  # messages that may travel in one call
         self.passed, self.pressed = 0, False  # calls in a row, none refused; the last one waited for its turn
         self.doubt = 1.0  # of what the list vouches for: it is given back that much slower
+        self.need = 0.0  # calls a second that would bring what is held there in time
+        self.refusals = 0.0  # share of the recent calls to its kind
         self.knee = 0.0  # calls a second that are likely to pass, by the last refusal; 0: none met
         self.gain = 1.0  # times the ramp that may be sent, by what passed and was refused since the return
 
@@ -265,11 +269,23 @@
         # another sender's burst, a batch job or a restart. Costs some refused calls where a limit stays low,
         # so does harm where each of them uses up the little that there is. Not after an outage: see ramp.
         span = 0.0 if self.is_cold(now) else max(0.0, now - max(self.cut_at, self.raised_at))
+        grown = max(grown, self.needed(span))
         sure = min(1.0, VOUCHED * self.spread) * self.vouched
         back = min(self.pace + sure * span / (RETURN * self.doubt), sure)
         back = max(back, min(self.pace + self.knee * span / RETURN, self.knee)) if self.sparse else back
         self.pace, self.raised_at = max(self.pace, grown, back), now
 
+    def needed(self, span: float) -> float:
+        """The pace by what is held, so many ms after a refusal or a raise; 0: it has enough, or is of few."""
+        # Guards a class that comes to few of many senders, as keys keep to theirs: an even share starves it
+        # while others leave theirs, and time alone raises it too late. Where a limit refuses the share r of
+        # the calls, cuts and this growth meet at a pace of need * cube root(2 * NEED / r) at every sender:
+        # all get the same multiple of what they need. Not where a limit may count refused calls too.
+        if not self.sparse or self.need <= self.pace:
+            return 0.0
+        more = NEED * self.need**3 / self.pace / self.doubt * max(0.0, 1 - self.refusals / RIFE)
+        return min(self.pace + more * min(span / 1000, 1.0), 2 * self.pace, self.need)
+
     def on_full(self, now: float, wait: float, common: float) -> None:
         """A refusal: cut the pace once a span, or take it as a sign of an outage."""
         self.first_full, self.fulls = self.first_full if self.fulls else now, self.fulls + 1
@@ -292,7 +308,11 @@
             self.cut_at = now + max(wait, CUT_SPAN)
             # Of many senders each waits for its next turn: what all try again at once uses the limit up, and
             # keeps it so while refused calls count.
-            self.next_at = max(self.next_at, now + 1000 * max(common, self.sparse) / self.pace)
+            turn = 1000 * max(common, self.sparse) / self.pace
+            if self.sparse:  # by its share one of hundreds may have a turn a minute: nothing lives so long
+                turn = min(turn, self.patience)
+                self.next_at = min(self.next_at, now + self.patience)
+            self.next_at = max(self.next_at, now + turn)
 
     def on_fail(self, now: float, outcome: Outcome) -> None:
         """A failure: narrow, and count towards an outage."""
@@ -361,6 +381,7 @@
         self.held: dict[int, Backlog] = {}  # by destination: not out
         self.lines: dict[int, deque[int]] = {}  # by key: messages in the order taken
         self.in_line: set[int] = set()  # messages that their line still waits for
+        self.queued: Counter[int] = Counter()  # by key: how many
         self.rests: dict[int, float] = {}  # by key: no new turn before
         self.rested: Schedule[int] = Schedule()
         self.least: Least | None = None
@@ -558,6 +579,7 @@
         if message.key:
             self.lines.setdefault(message.key, deque()).append(message.id)
             self.in_line.add(message.id)
+            self.queued[message.key] += 1
         self.deadlines.set(message.id, message.due - ANSWER_MARGIN)
         self.rouse(message.dest)
         return message
@@ -594,6 +616,7 @@
             if event.arrival.key and self.s.classes[event.arrival.cls].in_order:
                 self.lines.setdefault(event.arrival.key, deque()).append(event.arrival.message)
                 self.in_line.add(event.arrival.message)
+                self.queued[event.arrival.key] += 1
             return
         message = self.hold(event.arrival)
         message.cls = self.same(message.cls.bound_by(event.effect, event.group, event.repeat_window))
@@ -684,12 +707,13 @@
         if line is None or message not in self.in_line:
             return
         self.in_line.discard(message)
+        self.queued[key] -= 1
         if line[0] != message:
             return
         while line and line[0] not in self.in_line:
             line.popleft()
         if not line:
-            del self.lines[key]
+            del self.lines[key], self.queued[key]
         elif (first := self.live.get(line[0])) and not first.out:
             self.place(first, self.held[first.dest])
             self.touched[first.dest] = None
@@ -766,6 +790,7 @@
         crowd = self.crowded_out(event, route, kind)
         if not crowd:
             self.refusals[kind] += GAIN * ((event.outcome is Outcome.FULL) - self.refusals[kind])
+            route.refusals = self.refusals[kind]
         resets, reset = self.fresh_resets if event.fresh else self.resets, event.outcome is Outcome.RESET
         resets[kind] += GAIN * (reset - resets[kind])
         crowded = event.outcome is Outcome.CONNECT_FAILED and route.sparse and self.refusals[kind] < RIFE / 2
@@ -938,6 +963,8 @@
         self.sick += route.down
         self.out[call.number] = call
         route.on_send(self.now)
+        if route.sparse:
+            route.need = self.need(route, endpoint, batch)
         for m in batch:
             timeout = max(TIMEOUT_FLOOR, TIMEOUT_CALLS * self.usual_call(m.number, route, len(batch)))
             self.overdue.set(call.number, self.now + timeout / 2)
@@ -948,6 +975,13 @@
             timeout = max(1.0, min(timeout, m.due - self.now - 2 * self.s.tick))
             self.acts.append(i.Send(m.id, endpoint.info.endpoint, timeout))
 
+    def need(self, route: Route, endpoint: Endpoint, batch: list[Message]) -> float:
+        """Calls a second that would bring all that is held there within its aim, by its number and lines."""
+        size = min(route.batch, self.s.kinds[endpoint.info.kind].batch)
+        calls = len(self.held[batch[0].dest]) / size / len(self.routes[batch[0].dest])
+        lines = max((self.queued[m.key] for m in batch if m.key), default=0)  # a call has one of each key
+        return 1000 * max(calls, lines) / max(1.0, batch[0].cls.aim)
+
     # --- waiting for a slot ---
 
     def bar(self, dest: int) -> None:
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -354,6 +354,7 @@
         crowd = policy.Sender.crowded_out(self, event, route, kind)
         if not crowd:
             self.refusals[kind] += GAIN * ((event.outcome is Outcome.FULL) - self.refusals[kind])
+            route.refusals = self.refusals[kind]
         resets, reset = self.fresh_resets if event.fresh else self.resets, event.outcome is Outcome.RESET
         resets[kind] += GAIN * (reset - resets[kind])
         crowded = event.outcome is Outcome.CONNECT_FAILED and route.sparse and self.refusals[kind] < RIFE / 2
@@ -472,6 +473,11 @@
         route, call = endpoint.route, Call(endpoint, self.now, len(batch))
         self.free, endpoint.flight = self.free - 1, endpoint.flight + 1
         route.on_send(self.now)
+        if route.sparse:
+            held, size = self.held[batch[0].dest], min(route.batch, self.s.kinds[endpoint.info.kind].batch)
+            lines = max((len(self.lines[m.key]) for m in batch if m.key), default=0)
+            calls = max(len(held) / size / len(self.routes[batch[0].dest]), lines)
+            route.need = 1000 * calls / max(1.0, batch[0].cls.aim)
         for m in batch:
             timeout = max(TIMEOUT_FLOOR, TIMEOUT_CALLS * self.usual_call(m, route, len(batch)))
             call.overdue_at = self.now + timeout / 2
