--- a/tests/test_starved.py
+++ b/tests/test_starved.py
@@ -60,3 +60,15 @@
     ]
     assert sum(day.ends["FULL"] for day in days) < 0.3 * sum(day.ends["OK"] for day in days)  # 0.44
     assert sum(day.share for day in days) / 4 > 0.78  # 0.76
+
+
+@pytest.mark.parametrize(("low", "least"), [(1.0, 0.7), (0.33, 0.52)])  # 0.38 and 0.38
+def test_orders_are_served_again_when_seven_senders_in_ten_were_killed(low, least):
+    """herd+mass: those killed come back with what they held, while the limit has fallen to a third."""
+    served = 0.0
+    for seed in (3, 4, 5):
+        day = fleet(lambda now: 100.0 * low if 7000 <= now < 15_000 else 100.0, seed, listed=65.0, demand=0.9)
+        for n in day.rng.sample(range(186), 130):
+            day.at(9000.0, day.kill, n)
+        served += day.play(25_000).served(ORDERED) / 3
+    assert served > least
