--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parents[1]
-SIZES = (1, 3, 10, 40, 100)
+SIZES = (1, 3, 10, 40, 100, 200)
 LIMIT, SPAN = 40.0, 20_000.0
 
 
