Name the bound where an answer is too long, and test a list that is

It did serve on, but the log said `Spoilt('answer of 71424 bytes')` without the figure that it was over. The bound stands in the error, of lists and of receivers' answers. tests/test_many_peers.py: a list over the bound, calls meanwhile, and one that fits again taken up.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -65,13 +65,13 @@
         # Guards the memory: what is announced too long is refused before it comes.
         length = self.headers.get("content-length", "0")
         if not length.isdigit() or int(length) > self.most:
-            self.fail(Spoilt(f"answer of {length[:20]} bytes"))
+            self.fail(Spoilt(f"answer of {length[:20]} bytes, {self.most} at most"))
 
     def on_body(self, body: bytes) -> None:
         if not self.answer.done():
             self.body += body
             if len(self.body) > self.most:
-                self.fail(Spoilt("answer too long"))
+                self.fail(Spoilt(f"answer longer than {self.most} bytes"))
 
     def on_message_complete(self) -> None:
         if self.in_body and not self.answer.done():
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -11,6 +11,7 @@
 from rainpier.config import platform
 from rainpier.config.types import Many, Text
 from rainpier.fronts.resp.server import Clients
+from rainpier.membership import platform as discovery
 from rainpier.policy import Sender
 from rainpier.store.files import Folder
 from rainpier.store.store import Store
@@ -108,3 +109,21 @@
                 assert (await server.next())[1][b"x-call-id"] == b"one"
 
     drive(story())
+
+
+def test_a_list_that_is_too_long_is_named_with_the_bound_and_the_last_one_serves_on(tmp_path, caplog, monkeypatch):
+    monkeypatch.setattr(discovery, "MAX_LIST", 20_000)
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as server, Agent() as agent:
+            agent.hosts = [host("good", server.dial)]
+            async with sender(tmp_path, agent) as node, Client(node.port) as client:
+                await node.source.whole.wait()
+                agent.change(*(host(f"h{n}", server.dial, block=n) for n in range(600)))
+                await until(lambda: "20000 at most; going on" in caplog.text.replace("')", ""))
+                assert await client.ask(put("one")) == "OK"
+                assert (await server.next())[1][b"x-call-id"] == b"one"
+                agent.change(*(host(f"h{n}", server.dial, block=n) for n in range(60)))
+                await until(lambda: "h59" in node.hosts.numbers)  # what is short enough again is taken up
+
+    drive(story())
