Keep a class in haste from sending all refused senders back at once

Read again: the turn after a refusal is bound by half of the shortest deadline of any class, so that one class of 400 ms would send every refused sender back after 200 ms, at every destination; an aim of a millisecond made a need of a thousand calls a second of each message. The bound is never under the rule's `fall`, and a need reckons with an aim of the design's 100 ms at least. The new test fails without it.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -118,7 +118,8 @@
         self.spread = max(1.0, math.sqrt(settings.senders / FLEET))  # not all of them hold a message for it
         self.sparse = 1 - 1 / self.spread  # how surely this sender's calls are few among many
         self.floor = 1000 / settings.fall / self.spread  # calls a second, whatever was seen
-        self.patience = min((cls.deadline for cls in settings.classes), default=math.inf) / 2  # ms
+        shortest = min((cls.deadline for cls in settings.classes), default=math.inf)
+        self.patience = max(shortest / 2, settings.fall)  # ms; one class in haste must not send all back
         self.reset()
 
     def reset(self) -> None:
@@ -981,7 +982,7 @@
         size = min(route.batch, self.s.kinds[endpoint.info.kind].batch)
         calls = len(self.held[batch[0].dest]) / size / len(self.routes[batch[0].dest])
         lines = max((self.queued[m.key] for m in batch if m.key), default=0)  # a call has one of each key
-        return 1000 * max(calls, lines) / max(1.0, batch[0].cls.aim)
+        return 1000 * max(calls, lines) / max(BASE, batch[0].cls.aim)  # a shorter aim no pace could keep
 
     # --- waiting for a slot ---
 
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -477,7 +477,7 @@
             held, size = self.held[batch[0].dest], min(route.batch, self.s.kinds[endpoint.info.kind].batch)
             lines = max((len(self.lines[m.key]) for m in batch if m.key), default=0)
             calls = max(len(held) / size / len(self.routes[batch[0].dest]), lines)
-            route.need = 1000 * calls / max(1.0, batch[0].cls.aim)
+            route.need = 1000 * calls / max(BASE, batch[0].cls.aim)
         for m in batch:
             timeout = max(TIMEOUT_FLOOR, TIMEOUT_CALLS * self.usual_call(m, route, len(batch)))
             call.overdue_at = self.now + timeout / 2
--- a/tests/test_starved.py
+++ b/tests/test_starved.py
@@ -72,3 +72,18 @@
             day.at(9000.0, day.kill, n)
         served += day.play(25_000).served(ORDERED) / 3
     assert served > least
+
+
+def test_a_class_in_haste_does_not_send_all_refused_senders_back_at_once():
+    """A deadline of 400 ms is nobody else's turn, and an aim of a millisecond no need of a thousand calls a second."""
+    hasty = i.MessageClass("hasty", 1.0, 1.0, 400.0)
+    slow = i.MessageClass("slow", 1.0, 2500.0, 12000.0, 0.3)
+    sender = Sender(i.Settings(classes=(hasty, slow), senders=230, rates_rough=True), seed=1)
+    sender.handle(0.0, [i.ListChange(i.ListKind.FULL, (i.Listed(7, 1, rate=4.0),))])
+    sender.handle(0.0, [i.Arrival(1, 1, 1, 12000.0)])
+    sender.handle(50.0, [i.Result(1, 0, 7, i.Outcome.FULL, 50.0)])
+    again = [at for at in range(60, 12000, 20) if any(isinstance(a, i.Send) for a in sender.handle(float(at), []))]
+    assert again[0] > 2500
+    sender.handle(20_000.0, [i.Result(1, 1, 7, i.Outcome.OK, 50.0, True)])
+    sender.handle(40_000.0, [i.Arrival(2, 0, 1, 40_400.0)])
+    assert 0 < sender.routes[1][0].need <= 10.0  # a call takes some 100 ms
