--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import json
 
 import pytest
-from peers import Agent, Client, HttpPeer, command, config, drive, host, node_of, put, until
+from peers import SETTINGS, Agent, Client, HttpPeer, command, config, drive, host, node_of, put, until
 
 from rainpier import interface as i
 from rainpier.fronts.resp.server import Clients
@@ -185,6 +186,36 @@
     drive(story())
 
 
+def test_a_batch_begins_with_the_message_that_lives_longest(tmp_path):
+    """Seen at a receiver that hung: once the time of a call's first message was up its answer counted for none."""
+
+    async def story():
+        over, lives = asyncio.Event(), {}
+
+        async def hangs(request, body):
+            names = [row["id"] for row in json.loads(body)]
+            lives.update({name: int(name.split("-")[1]) for name in names})
+            await over.wait()
+            if lives[names[0]] < max(lives.values()):
+                return None  # its first message is over, and so is the call
+            return 200, [], json.dumps([{"id": name, "state": "delivered"} for name in names]).encode()
+
+        async with HttpPeer(hangs) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial, kind="bulk")]
+            classes = [SETTINGS["classes"][2] | {"objective": 20000.0}]  # so that the most urgent is worth the most
+            async with sender(tmp_path, agent, classes=classes) as node, Client(node.port) as client:
+                for d in (500, 20000, 9000):
+                    client.writer.write(put(f"m-{d}", cls="unsafe", d=d))
+                assert [await client.answer() for _ in range(3)] == ["OK"] * 3
+                assert (await agent.notice())["message"] == "m-500"
+                assert len(lives) == 3
+                over.set()
+                await until(lambda: not node.store.entries)
+                assert agent.notices.empty() and not node.calls.out
+
+    drive(story())
+
+
 def test_a_told_wait_holds_a_call_whose_connection_is_still_coming_up(tmp_path):
     """A wait that is told while a call connects holds it too, if it was not written yet."""
 
