Answer what was asked whole before a client's connection ends

Need: a request whose last byte has come gets its answer, or is surely not taken on.

At fault, all in rainpier/fronts/resp/server.py: - Connection.fail cleared the answers of whole requests that stood before the bad bytes; they may be taken on, and their client hands them in again. They keep their answers now, in order, then the error, then the end.

--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -1,6 +1,7 @@
 """RESP server for clients: PING, MSG.PUT and the handshake. Which connections it keeps, and for how long."""
 
 import asyncio
+import contextlib
 import errno
 import logging
 import socket
@@ -35,8 +36,8 @@
 class Connection(asyncio.BufferedProtocol):
     """One client: its requests in the order they come, its answers in the same order."""
 
-    def __init__(self, clients: "Clients") -> None:
-        self.clients, self.loop = clients, clients.loop
+    def __init__(self, clients: "Clients", sock: socket.socket) -> None:
+        self.clients, self.loop, self.sock = clients, clients.loop, sock
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.session = Session(clients.password)
@@ -45,6 +46,8 @@
         self.begun = self.since  # when the first byte of the request that is not whole yet came
         self.proven = False  # has sent a whole request
         self.closing = self.paused = self.full = self.due = self.last = False
+        self.deaf = False  # what comes is dropped: nothing more is answered
+        self.eof = False  # the client has ended its side
 
     # --- the loop's side ---
 
@@ -57,7 +60,7 @@
         return self.clients.incoming
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.closing:
+        if self.closing or self.deaf:
             return
         if not self.buffer and self.proven:  # what comes in drops before a first request wins no time
             self.begun = self.loop.time()
@@ -67,11 +70,12 @@
 
     def eof_received(self) -> bool:
         """A client that sends no more is still answered; what was taken on stays taken on anyway."""
-        self.last = True
+        self.last = self.eof = True
         return self.due or bool(self.answers)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
+        self.due = False
         self.answers.clear()
         self.buffer.clear()
         self.clients.lost(self)
@@ -90,6 +94,18 @@
     def busy(self) -> bool:
         return bool(self.answers or self.buffer)
 
+    @property
+    def wanted(self) -> bool:
+        """While the process ends: whether it is still waited for."""
+        return bool(self.answers) or self.due if self.clients.hurried else self.busy
+
+    def unread(self) -> bool:
+        """Something waits in the socket that the loop has not read yet: maybe a whole request."""
+        try:
+            return not self.closing and bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:  # nothing, or the connection is over
+            return False
+
     @property
     def waited_for(self) -> bool:
         """The next thing to happen is the rest of its request, or the first one."""
@@ -109,8 +125,8 @@
                 self.clients.parser.feed(bytes(self.buffer[at:end]))
                 at, turn, self.proven = end, turn - 1, True
                 self.answers.append(self.clients.answer(self.clients.parser.gets(), self.session))
-                if self.session.quit:  # what comes behind a QUIT is not read
-                    self.last, at, turn = True, len(self.buffer), 0
+                if self.session.quit:  # what comes behind a QUIT is not taken up
+                    self.last, self.deaf, at, turn = True, True, len(self.buffer), 0
         except hiredis.ProtocolError as failure:
             return self.fail(f"Protocol error: {failure}")
         if at:
@@ -159,8 +175,10 @@
         if ready and self.transport is not None:
             self.transport.write(b"".join(ready))
             self.since = self.loop.time()
-        if self.last and not self.answers and not self.due or self.clients.ended and not self.busy:
+        if self.last and not self.answers and not self.due:
             self.close()
+        elif self.clients.ended and not self.wanted:
+            self.leave()
 
     def decided(self, _: asyncio.Future) -> None:
         if not self.closing:
@@ -170,18 +188,39 @@
                 self.go_on()
 
     def fail(self, text: str) -> None:
-        """The error and the close at once: answers that are still open would only hold them up."""
-        self.answers.clear()
+        """The error, and the end behind it.
+
+        What was asked whole before the fault keeps its answers, in their order: it may be taken on, and a
+        client that hears nothing hands it in again.
+        """
         self.buffer.clear()
-        if self.transport is not None:
-            self.transport.write(error(text))
-        self.close()
+        self.due, self.last, self.deaf = False, True, True
+        self.answers.append(error(text))
+        self.flush()
+        self.steer()
 
     def close(self) -> None:
-        """After what is written has left, but not for long."""
+        """After what is written has left, but not for long.
+
+        Where a client may still be sending what nobody will answer, our side ends first, and the rest is read
+        and dropped until it has ended too: bytes that are unread when a socket is closed make a reset, which
+        may destroy what was answered. Never between two requests: what crosses the close must stay unread,
+        so that its client sends it once more.
+        """
         if not self.closing and self.transport is not None:
             self.closing, self.since = True, self.loop.time()
-            self.transport.close()
+            if not self.deaf or self.eof:
+                return self.transport.close()
+            self.clients.lingering.add(self)
+            self.transport.write_eof()
+            if self.paused:
+                self.paused = False
+                self.transport.resume_reading()
+
+    def leave(self) -> None:
+        """Close between two requests, unless one has come that is not read yet: it is answered first."""
+        if not self.unread():
+            self.close()
 
     def look(self, now: float) -> None:
         """Close what takes too long; see Clients.look."""
@@ -205,7 +244,8 @@
         self.connections: set[Connection] = set()
         self.socket: socket.socket | None = None
         self.short_since: float | None = None
-        self.ended, self.gone = False, asyncio.Event()
+        self.lingering: set[Connection] = set()  # of them, those that wait for the client's own end only
+        self.ended, self.hurried, self.gone = False, False, asyncio.Event()
         self.timers: dict[str, asyncio.TimerHandle] = {}
 
     async def listen(self, address: tuple[str, int]) -> None:
@@ -220,24 +260,28 @@
         return self.socket.getsockname()[1]
 
     async def close(self, within: float) -> None:
-        """Listen no longer; close each connection once nothing on it is unanswered."""
-        self.ended = True
+        """Listen no longer; close each connection once nothing on it is unanswered.
+
+        After `within` seconds half a request is no longer waited for. What was asked whole still is: it may
+        be taken on, so that only the end of the process cuts it off.
+        """
         if self.socket is not None:
+            for _ in range(BACKLOG // ACCEPTS):  # who waits to be accepted would be reset with its request
+                self.accept()
             self.loop.remove_reader(self.socket)
             self.socket.close()
             self.socket = None
+        self.ended = True
         for timer in self.timers.values():
             timer.cancel()  # the time that closing may take is bounded by itself
-        for connection in list(self.connections):
-            if not connection.busy:
-                connection.close()
-        self.gone.clear()
-        if self.connections:
-            try:
-                await asyncio.wait_for(self.gone.wait(), within)
-            except TimeoutError:
-                for connection in list(self.connections):
-                    connection.close()
+        for self.hurried in (False, True):
+            for connection in list(self.connections):
+                if not connection.wanted:
+                    connection.leave()  # the others leave behind their last answer
+            self.gone.clear()
+            self.over()
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(self.gone.wait(), within)
 
     # --- new connections ---
 
@@ -280,8 +324,15 @@
     def free_one(self, anyhow: bool = False) -> bool:
         """Close the connection that is missed least: guards the clients at work against a silent crowd.
 
-        First those that have sent no whole request yet, then those without an open one; the longest first.
+        First those that wait only for the client's own end, then those that have sent no whole request yet,
+        then those without an open one; the longest first. None whose request has come and is not read yet.
         """
+        if self.lingering:
+            connection = min(self.lingering, key=lambda c: c.since)
+            self.lingering.discard(connection)
+            if connection.transport is not None:
+                connection.transport.abort()
+            return True
         now = self.loop.time()
         idle_time = 0.0 if anyhow else IDLE_TIME
         able = [
@@ -290,15 +341,18 @@
             if not c.closing and not c.answers and not (c.proven and c.buffer)
             and now - c.since > (idle_time if c.proven else min(idle_time, UNPROVEN_TIME))
         ]  # fmt: skip
-        if not able:
-            return False
-        proven, _, connection = min(able, key=lambda a: a[:2])
-        connection.close() if proven else connection.fail("no request, and room is short")
-        return True
+        for proven, _, connection in sorted(able, key=lambda a: a[:2]):
+            if connection.unread():
+                continue
+            connection.close() if proven else connection.fail("no request, and room is short")
+            if connection.transport is not None:
+                connection.transport.close()  # at once: its descriptor is needed
+            return True
+        return False
 
     def take(self, peer: socket.socket) -> None:
         peer.setblocking(False)
-        connection = Connection(self)
+        connection = Connection(self, peer)
         self.connections.add(connection)
         made = self.loop.create_task(self.loop.connect_accepted_socket(lambda: connection, peer))
         made.add_done_callback(lambda task: self.made(task, connection))
@@ -311,6 +365,8 @@
         peer.setblocking(False)
         try:
             peer.send(error("too many connections"))
+            peer.shutdown(socket.SHUT_WR)
+            peer.recv(READ)  # a request that has come already: unread it would make a reset of the close
         except OSError:
             pass
         finally:
@@ -318,7 +374,12 @@
 
     def lost(self, connection: Connection) -> None:
         self.connections.discard(connection)
-        if not self.connections:
+        self.lingering.discard(connection)
+        self.over()
+
+    def over(self) -> None:
+        """When a connection ends: whether anybody is still waited for."""
+        if self.connections <= self.lingering:
             self.gone.set()
 
     def look(self) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 
 import pytest
 from peers import Client, command, drive, put, until
@@ -243,15 +245,126 @@
     drive(story())
 
 
-def test_an_unreadable_request_ends_the_connection_whatever_else_waits():
+RUBBISH = {"line": b"noise\r\n", "flood": b"noise\r\n" + b"x" * 3_000_000, "bulk": b"*1\r\n$4\r\nPINGxx" + put("c")}
+
+
+@pytest.mark.parametrize("rest", RUBBISH.values(), ids=RUBBISH)
+def test_rubbish_behind_good_requests_leaves_them_their_answers_and_nothing_more_is_taken_on(rest):
+    """Those asked before may be taken on: without an answer their client would hand them in again."""
+
     async def story():
-        never = asyncio.get_running_loop().create_future()
-        async with serving(lambda m: never) as (clients, taken), Client(clients.port) as client:
-            client.writer.write(put("a"))
-            await until(lambda: taken)
-            client.writer.write(b"noise\r\n")
-            assert "Protocol error" in await client.answer()
+        answers = [asyncio.get_running_loop().create_future() for _ in range(2)]
+        async with serving(lambda m: answers[len(taken) - 1]) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("a") + put("b") + rest)
+            await until(lambda: len(taken) == 2)
+            client.writer.write(put("d"))
+            answers[1].set_result(Taken())
+            await until(lambda: all(c.deaf for c in clients.connections))
+            answers[0].set_result(Busy(7))
+            told = [await client.answer() for _ in range(3)]
+            assert told[:2] == ["-BUSY 7", "OK"] and "Protocol error" in told[2]
             assert await client.answer() is None
+            assert [m.id for m in taken] == ["a", "b"]
+
+    drive(story())
+
+
+def test_the_time_for_half_a_request_never_cuts_off_an_answer_that_is_open(monkeypatch):
+    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.1)
+    monkeypatch.setattr("rainpier.fronts.resp.server.LOOK", 0.02)
+
+    async def story():
+        answer = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: answer) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("a") + put("b")[:20])
+            await until(lambda: taken)
+            await asyncio.sleep(0.4)
+            answer.set_result(Taken())
+            assert await client.answer() == "OK"
+            assert "in time" in await client.answer() and await client.answer() is None
+
+    drive(story())
+
+
+def test_what_comes_behind_a_quit_is_not_taken_on():
+    async def story():
+        answer = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: answer) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("a") + command("QUIT") + put("b"))
+            await until(lambda: taken)
+            client.writer.write(put("c"))
+            await until(lambda: all(c.deaf for c in clients.connections))
+            await client.writer.drain()
+            await asyncio.sleep(0.05)
+            answer.set_result(Taken())
+            assert [await client.answer() for _ in range(3)] == ["OK", "OK", None]
+            assert [m.id for m in taken] == ["a"]
+
+    drive(story())
+
+
+def test_a_request_that_has_come_unread_is_answered_before_its_connection_closes():
+    """While the loop is held up requests wait in the sockets: at the close they are owed an answer."""
+
+    async def story():
+        async with serving() as (clients, taken):
+            async with Client(clients.port) as client:
+                assert await client.ask(command("PING")) == "PONG"
+                sock = client.writer.get_extra_info("socket")
+                data = put("a")
+                while data:  # straight into the socket: the loop does not run until the close is asked for
+                    data = data[os.write(sock.fileno(), data) :]
+                closing = asyncio.ensure_future(clients.close(within=5.0))
+                assert await client.answer() == "OK" and [m.id for m in taken] == ["a"]
+                assert await client.answer() is None
+                await closing
+
+    drive(story())
+
+
+def test_a_client_that_waits_to_be_accepted_at_the_close_is_answered():
+    async def story():
+        async with serving() as (clients, taken):
+            with socket.create_connection(("127.0.0.1", clients.port)) as late:
+                late.sendall(put("a"))
+                await clients.close(within=5.0)
+                assert late.recv(100) == b"+OK\r\n" and [m.id for m in taken] == ["a"]
+                assert late.recv(100) == b""
+
+    drive(story())
+
+
+def test_an_answer_that_is_open_outlasts_the_time_in_which_connections_close():
+    """Half a request is not waited for any more; one that came whole may be taken on, and is."""
+
+    async def story():
+        answer = asyncio.get_running_loop().create_future()
+        async with serving(lambda m: answer) as (clients, taken), Client(clients.port) as client:
+            async with Client(clients.port) as half:
+                half.writer.write(put("b")[:20])
+                client.writer.write(put("a"))
+                await until(lambda: taken and sum(c.busy for c in clients.connections) == 2)
+                closing = asyncio.ensure_future(clients.close(within=0.3))
+                assert await half.answer() is None
+                assert not closing.done() and len(clients.connections) == 1
+                answer.set_result(Taken())
+                assert await client.answer() == "OK" and await client.answer() is None
+                await closing
+
+    drive(story())
+
+
+def test_room_is_not_made_by_closing_on_a_request_that_is_not_read_yet(monkeypatch):
+    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_TIME", 0.0)
+
+    async def story():
+        async with serving(most=2) as (clients, taken), Client(clients.port) as one, Client(clients.port) as two:
+            assert [await one.ask(command("PING")), await two.ask(command("PING"))] == ["PONG"] * 2
+            await asyncio.sleep(0.01)
+            os.write(one.writer.get_extra_info("socket").fileno(), put("a"))
+            assert clients.free_one()  # the loop has not read it: the one that asked first would be the one to go
+            assert await one.answer() == "OK" and [m.id for m in taken] == ["a"]
+            assert await two.answer() is None
 
     drive(story())
 
