Read on where whole requests waited for answers that have just left

At fault: rainpier/fronts/resp/server.py, Connection.read. It stops at 64 open answers. Where those before are decided but the loop has not told the connection of it, its own flush writes them all; the callback that would go on finds it no longer crowded, and nobody comes back to the buffer until more bytes come. After 2.4 s the connection is ended as one that never sent a whole request, and what it asked is lost.

Now read goes on by itself when its flush made the room. The test places the decision at exactly that instant; it fails without the change after 2.4 s, as seen.

--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -135,8 +135,11 @@
         if not turn and self.buffer:
             self.due = True
             self.loop.call_soon(self.read_on)
+        held = self.crowded
         self.flush()
-        self.steer()
+        # Guards whole requests that had to wait: nobody comes back to them where the answers that were in
+        # their way had been decided meanwhile, and have just left.
+        self.go_on() if held and not self.crowded else self.steer()
 
     def read_on(self) -> None:
         if self.due and not self.closing:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -386,6 +386,25 @@
     drive(story())
 
 
+def test_whole_requests_that_had_to_wait_are_read_though_the_answers_before_them_are_decided_at_once():
+    async def story():
+        first, second = (asyncio.get_running_loop().create_future() for _ in range(2))
+
+        def decides(message):
+            if len(taken) == 64:  # as many as may be open: the loop has not told the connection of it yet
+                first.set_result(Taken())
+                second.set_result(Taken())
+            return first if len(taken) <= 64 else second
+
+        async with serving(decides) as (clients, taken), Client(clients.port) as client:
+            client.writer.write(put("m"))
+            await until(lambda: taken)  # so that the last of those that may be open is not the last of a turn
+            client.writer.write(b"".join(put(f"m{n}", body=b"") for n in range(99)))
+            assert [await client.answer() for _ in range(100)] == ["OK"] * 100
+
+    drive(story())
+
+
 def test_a_client_that_sends_no_more_is_still_answered():
     async def story():
         answer = asyncio.get_running_loop().create_future()
