Open a watch anew at once where its answer stops within itself or its connection never comes

Need: a watch that falls silent is noticed before what it misses counts as told (6 s, or 2 s beyond its wait).

Seen as a failing test over sockets: an answer to a watch that stops after its first bytes, and a connection to discovery that never comes up, were waited for 21.5 s, as long as news may take. At fault: rainpier/carriers/http/connection.py, Client.request (one time-out for all of it). Connecting, and an answer from its first byte to its last, have LIST_TIMEOUT (2 s) each now; only news may be long in coming. A watch that is silent altogether is still given up 1.5 s beyond its wait and asked for 0.1 s later, inside the 2 s; a test holds the sum.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -260,17 +260,25 @@
             self.connection.close()
             self.connection = None
 
-    async def request(self, method: str, target: str, body: bytes, timeout: float) -> Answer:
-        """Never sent twice by itself; any failure closes the connection."""
+    async def request(
+        self, method: str, target: str, body: bytes, timeout: float, rest: float | None = None
+    ) -> Answer:
+        """Never sent twice by itself; any failure closes the connection.
+
+        `rest`: s for the connection to come up, and for an answer from its first byte to its last; only what
+        lies between may take as long as `timeout`.
+        """
+        rest = timeout if rest is None else rest
         kept = False
         try:
             async with asyncio.timeout(timeout):
                 if self.connection is not None and not self.connection.unpark():
                     self.drop()
                 if self.connection is None:
-                    self.connection = await Connection.open(self.address)
+                    async with asyncio.timeout(rest):
+                        self.connection = await Connection.open(self.address)
                 host = ("Host", "{}:{}".format(*self.address))
-                await self.connection.send(request(method, target, [host], body), self.most, timeout)
+                await self.connection.send(request(method, target, [host], body), self.most, rest)
                 answer = await self.connection.answer()
                 kept = self.connection.renew()
                 return answer
--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -15,7 +15,7 @@
 HEALTH = {"SERVING": Condition.READY, "DRAINING": Condition.DRAINING, "DELETED": Condition.GONE}
 WAIT = 20.0  # s that a watch may wait for news
 SPARE = 1.5  # s beyond that after which discovery counts as silent and is asked again
-LIST_TIMEOUT = 2.0  # s for the whole list, which comes at once or not at all
+LIST_TIMEOUT = 2.0  # s for the whole list, which comes at once or not at all; for the rest of any answer
 PAUSE = 0.1  # s before the next call after one that failed: inside the 200 ms in which a watch goes on
 FEW = 4  # senders that may all ask again at once
 TURN = 0.25  # s for each sender more: the span over which calls that were turned away are spread by chance
@@ -130,7 +130,9 @@
         target, timeout = "/v1/servers", LIST_TIMEOUT
         if self.seq is not None:
             target, timeout = f"{target}?index={self.seq}&wait={int(WAIT * 1000)}", WAIT + SPARE
-        answer = await self.client.request("GET", target, b"", timeout)
+        # Only news may be long in coming: guards against a connection that never comes up, or an answer that
+        # drips or stops within itself, which would be waited for as long as for a whole watch.
+        answer = await self.client.request("GET", target, b"", timeout, LIST_TIMEOUT)
         if answer.status in (429, 503):
             raise TurnedAway(f"answered {answer.status}")
         if answer.status != 200:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,7 @@
     def __init__(self, statuses):
         self.statuses, self.targets, self.pauses, self.done = list(statuses), [], [], asyncio.Event()
 
-    async def request(self, method, target, body, timeout):
+    async def request(self, method, target, body, timeout, rest=None):
         self.targets.append(target)
         if not self.statuses:
             self.done.set()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -414,6 +414,41 @@
     drive(story())
 
 
+def test_a_watch_whose_answer_stops_within_itself_is_opened_anew_at_once(tmp_path, monkeypatch):
+    """What it misses counts as told 6 s later: it must not be waited for as long as news may take."""
+    monkeypatch.setattr("rainpier.membership.platform.LIST_TIMEOUT", 0.2)
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.hosts, serve, stopped = [host("r1", receiver.dial)], agent.serve, []
+
+            async def stops(reader, writer):
+                if len(agent.asked) != 1 or stopped:
+                    return await serve(reader, writer)
+                stopped.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{"seq": 2,')
+                await asyncio.get_running_loop().create_future()
+
+            async def reply(request, body, before=agent.answer):
+                status, _, told = await before(request, body)
+                return status, [("Connection", "close")], told
+
+            agent.serve, agent.answer = stops, reply
+            async with sender(tmp_path, agent) as node:
+                await until(lambda: stopped)
+                agent.change(host("r1", receiver.dial, health="DRAINING"))
+                await until(lambda: node.calls.receivers.listed[1].listed.condition is i.Condition.DRAINING)
+
+    drive(story())
+
+
+def test_what_a_silent_watch_misses_is_asked_for_before_it_counts_as_told():
+    """2 s beyond its wait, with what is left for the new call to be answered."""
+    from rainpier.membership import platform
+
+    assert platform.SPARE + platform.PAUSE <= 1.7 and platform.LIST_TIMEOUT + platform.PAUSE < 6
+
+
 @pytest.mark.parametrize("junk", [b"not json", b"[]", b'{"seq":9}', b'{"seq":9,"whole":true,"hosts":[{"host":1}]}'])
 def test_a_list_that_cannot_be_read_is_asked_for_again(tmp_path, junk):
     async def story():
