Log state transitions and the reason of each closed, held back or refused request

Cause: the incident's records show an exit with status 2 and requests without an answer, and the sender's log has no reason for either: refused requests, closed client connections and attempts that are held back left no trace. Change: rainpier/observe/events.py writes records as event=NAME reason=REASON with ids, and counts each of them; the counters are in the status and logged every 10 s where they changed. Records of single requests and attempts are at the level debug (RAINPIER_LOG=debug). The line of a message's end became such a record. No decision changes.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -15,6 +15,7 @@
 from .host import finish
 from .membership.platform import Discovery
 from .node.node import Node
+from .observe.events import record
 from .sinks.notices import Notices
 from .store.files import InUse
 from .store.store import StoreError
@@ -29,6 +30,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(os.environ)
+    record("process", "starting", pid=os.getpid(), name=config.name)
     discovery = Discovery(config.discovery, config.known, config.settings.senders)
     notices = Notices(config.discovery)
     node = Node(config, discovery, notices)
@@ -37,15 +39,21 @@
     clients = Clients(node.put, config.for_clients)
     await clients.listen(config.listen)
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
+    record("process", "serving", pid=os.getpid(), name=config.name, held=len(node.store.entries))
     log.info("%d slots, %d descriptors, %d bytes of disk", node.core.s.slots, config.sockets, config.disk)
     await stop.wait()
     await finish(node, [clients], loop.time())
     reloading.cancel()
 
 
+def log_level() -> int:
+    """RAINPIER_LOG=debug also logs each refused request and each ended attempt."""
+    return logging.DEBUG if os.environ.get("RAINPIER_LOG", "").lower() == "debug" else logging.INFO
+
+
 def main() -> int:
     """The platform's sender."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.basicConfig(stream=sys.stderr, level=log_level(), format="%(asctime)s %(levelname)s %(message)s")
     # Guards the moments before the loop's handlers and after them: SIGHUP must never end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -11,6 +11,7 @@
 import hiredis
 
 from ...handed import Answered, Handed
+from ...observe.events import record
 from .requests import BadRequest, error, frame, parse_put, shown, worded
 from .session import Session
 
@@ -48,6 +49,7 @@
         self.closing = self.paused = self.full = self.due = self.last = False
         self.deaf = False  # what comes is dropped: nothing more is answered
         self.eof = False  # the client has ended its side
+        self.reason = ""  # why this side closes it
 
     # --- the loop's side ---
 
@@ -74,12 +76,21 @@
         return self.due or bool(self.answers)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.log_loss(exc)
         self.closing = True
         self.due = False
         self.answers.clear()
         self.buffer.clear()
         self.clients.lost(self)
 
+    def log_loss(self, exc: Exception | None) -> None:
+        """A connection that ends with something owed is logged; the others are counted."""
+        reason = self.reason or ("error" if exc is not None else "client_closed")
+        owed = len(self.answers)
+        level = logging.INFO if owed else logging.DEBUG
+        fields = {"connection": self.session.id, "unanswered": owed, "unread_bytes": len(self.buffer)}
+        record("client_connection_closed", reason, level=level, **fields, error=exc or "")
+
     def pause_writing(self) -> None:
         self.full = True
         self.steer()
@@ -197,6 +208,7 @@
         client that hears nothing hands it in again.
         """
         self.buffer.clear()
+        self.reason = self.reason or "request_error"
         self.due, self.last, self.deaf = False, True, True
         self.answers.append(error(text))
         self.flush()
@@ -223,6 +235,7 @@
     def leave(self) -> None:
         """Close between two requests, unless one has come that is not read yet: it is answered first."""
         if not self.unread():
+            self.reason = self.reason or "stopping"
             self.close()
 
     def look(self, now: float) -> None:
@@ -231,8 +244,10 @@
             if now - self.since > CLOSE_TIME and self.transport is not None:
                 self.transport.abort()
         elif self.full and now - self.since > REQUEST_TIME and self.transport is not None:
-            self.transport.abort()  # does not read its answers
+            self.reason = "answers_not_read"
+            self.transport.abort()
         elif self.waited_for and now - self.begun > REQUEST_TIME:
+            self.reason = "request_timeout"
             self.fail("no whole request in time")
 
 
@@ -314,7 +329,9 @@
             except OSError as failure:
                 if failure.errno in NO_DESCRIPTOR:
                     self.free_one(anyhow=True)
-                log.warning("accept: %s", failure)
+                fields = {"error": failure, "connections": len(self.connections)}
+                reason = errno.errorcode.get(failure.errno or 0, "other")
+                record("accept_failed", reason, level=logging.WARNING, **fields)
                 return self.pause()
             self.take(peer) if len(self.connections) < self.most else self.turn_away(peer)
 
@@ -347,6 +364,7 @@
         for proven, _, connection in sorted(able, key=lambda a: a[:2]):
             if connection.unread():
                 continue
+            connection.reason = "room"
             connection.close() if proven else connection.fail("no request, and room is short")
             if connection.transport is not None:
                 connection.transport.close()  # at once: its descriptor is needed
@@ -365,6 +383,7 @@
             self.lost(connection)
 
     def turn_away(self, peer: socket.socket) -> None:
+        record("client_refused", "too_many_connections", level=logging.DEBUG)
         peer.setblocking(False)
         try:
             peer.send(error("too many connections"))
--- a/rainpier/node/calls.py
+++ b/rainpier/node/calls.py
@@ -13,6 +13,7 @@
 from ..attempt.rules import RULES, may_repeat
 from ..carriers.http.receivers import Call, Carriers, Ending, Receivers, batches
 from ..config.place import Config
+from ..observe.events import record
 from ..store.entry import Entry
 from .core import Core
 from .ends import Ends
@@ -49,6 +50,7 @@
             self.core.stalled = self.store.stuck
             stuck, free = "no room to record attempts: none begins", "attempts begin again"
             log.warning(stuck if self.store.stuck else free)
+            record("store", "cannot_record" if self.store.stuck else "records_again", level=logging.WARNING)
             self.core.push(i.Stalled(self.core.stalled))
 
     # --- what a round decided ---
@@ -112,6 +114,7 @@
         if not self.may_go(call):
             return False
         if not self.store.begin(call.entries, self.core.now, call.receiver.listed.zone):
+            self.held_back(call, "not_recorded")
             self.watch_store()
             return False
         if not self.store.machine:
@@ -127,12 +130,18 @@
         drained = self.core.loop.time() - call.receiver.told_at > self.core.s.drain_grace / 2000
         waiting = not self.waits.over(listed)
         if waiting or drained:
+            self.held_back(call, "retry_after" if waiting else "draining")
             return False
         for entry in list(call.entries):
             if not RULES.may_write(waiting, drained, bool(entry.end), may_repeat(entry, now, listed.zone)):
                 self.take_out(call, entry)
         return bool(call.entries)
 
+    @staticmethod
+    def held_back(call: Call, reason: str) -> None:
+        names = ",".join(entry.id for entry in call.entries)
+        record("attempt_held_back", reason, level=logging.DEBUG, ids=names, endpoint=call.receiver.host)
+
     def take_out(self, call: Call, entry: Entry) -> None:
         """Nothing of it has left, and nothing will: its attempt is over, the call goes on without it."""
         at = next(n for n, one in enumerate(call.entries) if one is entry)
@@ -197,6 +206,8 @@
     ) -> None:
         """Its attempt is over: the module hears how."""
         self.out.pop(entry.number, None)
+        fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.host}
+        record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
         elapsed = (self.core.loop.time() - call.started) * 1000
         endpoint = call.receiver.listed.endpoint
         fresh, wait, report = call.uses == 1, ending.wait, ending.report
--- a/rainpier/node/ends.py
+++ b/rainpier/node/ends.py
@@ -11,6 +11,7 @@
 from .. import interface as i
 from ..attempt.rules import RULES, harmless
 from ..handed import Handed
+from ..observe.events import record
 from ..sinks.sink import Sink
 from ..store.entry import Entry
 from ..structures.schedule import Schedule
@@ -103,7 +104,8 @@
             self.conclude(entry, GIVEN_UP, 0)
 
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
-        log.info("message %s of %s for destination %d: %s", entry.id, entry.cls, entry.destination, end)
+        fields = {"id": entry.id, "class": entry.cls, "destination": entry.destination}
+        record("message_ended", end, **fields, attempts=entry.attempts, may_have_run=bool(entry.risky_at))
         self.store.end(entry, end, retry, lambda: self.ended(entry))  # told only once it is written
 
     def ended(self, entry: Entry) -> None:
--- a/rainpier/node/intake.py
+++ b/rainpier/node/intake.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import logging
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from .. import interface as i
 from ..handed import Answer, Answered, Busy, Handed, Known, Taken, Wrong
+from ..observe.events import record
 from ..policy import EVICT_AT
 from ..store.entry import Entry
 from .core import Core
@@ -38,6 +40,7 @@
     def put(self, handed: Handed) -> Answered:
         """A client hands in a message; a future, where a round has to decide."""
         if wrong := self.wrong(handed):
+            self.refused(handed.id, handed.cls, handed.destination, "invalid")
             return Wrong(wrong)
         if offer := self.names.get(handed.id):
             self.ends.redirect(offer.entry, handed)
@@ -46,7 +49,10 @@
             known = self.store.entries.get(self.store.state.numbers.get(handed.id, 0))
             self.ends.redirect(known, handed)
             return Known(owed=known is not None and not known.told)
-        if self.held >= self.core.s.max_open or not self.store.room(handed.body):
+        full = self.held >= self.core.s.max_open
+        if full or not self.store.room(handed.body):
+            reason = "too_many_held" if full else "no_store_room"
+            self.refused(handed.id, handed.cls, handed.destination, reason)
             return Busy(DOOR_WAIT)
         return self.offer(handed).answer
 
@@ -97,15 +103,24 @@
         self.ends.unowe(entry)
         if isinstance(end, i.Refuse):
             answer: Answer = Busy(math.ceil(end.retry_after))
+            reason = "policy_refused"
         elif end is not None:
             answer = Wrong("given up")
+            reason = "policy_failed"
         else:
             answer = Busy(DOOR_WAIT)
+            reason = "not_recorded"
             push(i.Withdrawn(entry.number))
+        self.refused(entry.id, entry.cls, entry.destination, reason)
         if end is not None and entry.key:
             push(i.EndAnswered(entry.number, entry.key))
         self.answer(offer, answer)
 
+    @staticmethod
+    def refused(name: str, cls: str, destination: int, reason: str) -> None:
+        fields = {"id": name, "class": cls, "destination": destination}
+        record("request_refused", reason, level=logging.DEBUG, **fields)
+
     @staticmethod
     def answer(offer: Offer, answer: Answer) -> None:
         if not offer.answer.done():
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -17,6 +17,7 @@
 from ..carriers.http.receivers import Call
 from ..config.place import Config
 from ..membership.source import Source
+from ..observe.events import Summary
 from ..policy import Sender
 from ..sinks.sink import Sink
 from ..store.entry import Entry
@@ -30,6 +31,7 @@
 
 log = logging.getLogger(__name__)
 SWEEP = 0.1  # s between looks for what no round looks for
+COUNTERS_INTERVAL = 10.0  # s between log records of the counters
 FIRST_LIST = 0.3  # s to wait for it before messages of an earlier process go on
 
 
@@ -171,9 +173,13 @@
 
     async def sweep(self) -> None:
         """What has to be looked for, with or without rounds."""
+        summary, due = Summary(), self.core.loop.time() + COUNTERS_INTERVAL
         while True:
             await asyncio.sleep(SWEEP)
             self.ends.sweep()
+            if self.core.loop.time() >= due:
+                due = self.core.loop.time() + COUNTERS_INTERVAL
+                summary.log_counts()
             self.tidy()  # what waits for room is tried again
             self.calls.waits.forget()
             self.hosts.sweep()
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -21,6 +21,7 @@
 from .host import finish
 from .membership.file import FileList, hosts
 from .node.node import Node
+from .observe.events import counts
 from .sinks.file import FileSink
 from .sinks.notices import Notices
 from .sinks.sink import Sink
@@ -134,6 +135,7 @@
             "ends_waiting": len(node.sink.waiting),
             "no_room": node.core.stalled,  # attempts can't be recorded, so none begins
             "clients": len(self.clients.connections),
+            "counters": counts(),
             "amqp": self.front.status() if self.front is not None else None,
             "store_bytes": node.store.size, "disk_bytes": node.core.config.disk,
             "reload": {
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -17,6 +17,7 @@
 from itertools import islice
 
 from ..interface import Outcome
+from ..observe.events import record
 from . import records as r
 from . import upgrade
 from .entry import Entry
@@ -388,9 +389,11 @@
     def complain(self, error: OSError) -> None:
         self.refused += 1
         now = time.monotonic()
-        if now - self.reported > 1.0:
+        level = logging.ERROR if now - self.reported > 1.0 else logging.DEBUG
+        if level == logging.ERROR:
             self.reported = now
-            log.error("store: %s", error)
+        reason = errno.errorcode.get(error.errno or 0, "other")
+        record("store_call_failed", reason, level=level, error=error, waiting=len(self.waiting))
 
     def put(self, records: list[tuple[int, bytes]]) -> bool:
         """Records that may be refused: never ahead of ones that wait."""
