--- a/tests/peers.py
+++ b/tests/peers.py
@@ -76,6 +76,8 @@
             await self.serve(reader, writer)
         except (OSError, h11.RemoteProtocolError):
             pass
+        except asyncio.CancelledError:  # at the end of the loop; asyncio's streams log it as an error
+            pass
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
--- /dev/null
+++ b/tests/standins/faults/__main__.py
@@ -0,0 +1,70 @@
+"""Plays seeds by hand: python -m standins.faults --seeds A-B --fault KIND. Exit 1 where a rule was broken."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from standins.faults.plan import KINDS, draw
+from standins.faults.run import play
+from standins.faults.shim import ShimUnavailable, build
+
+MOST_SEED = 2**31
+
+
+def seeds(text: str) -> range:
+    first, _, last = text.partition("-")
+    if not first.isdigit() or (last and not last.isdigit()):
+        raise argparse.ArgumentTypeError(f"{text!r} is not A or A-B")
+    found = range(int(first), int(last or first) + 1)
+    if not found or found[-1] > MOST_SEED:
+        raise argparse.ArgumentTypeError(f"{text!r} is out of range: A <= B <= {MOST_SEED}")
+    return found
+
+
+def options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m standins.faults", description=__doc__)
+    parser.add_argument("--seeds", type=seeds, default=range(1, 6), metavar="A-B")
+    parser.add_argument("--fault", choices=KINDS, action="append", help="may be given several times; all by default")
+    parser.add_argument("--jobs", type=int, default=3, help="runs at one time")
+    parser.add_argument("--logs", type=Path, help="a folder for the senders' logs of runs that broke a rule")
+    return parser.parse_args()
+
+
+async def play_all(options: argparse.Namespace, library: Path) -> int:
+    kinds = options.fault or KINDS
+    plans = [draw(seed, kind) for seed in options.seeds for kind in kinds]
+    free, broken = asyncio.Semaphore(options.jobs), 0
+
+    async def one(plan) -> None:
+        nonlocal broken
+        async with free:
+            findings, summary = await play(plan, library, options.logs)
+        broken += bool(findings)
+        print(f"{'BROKEN' if findings else 'kept'} seed {plan.seed} {plan.kind}: {summary}", flush=True)
+        if findings:
+            print(f"  plan: {plan}")
+            for finding in findings[:8]:
+                print(f"  {finding}")
+            if len(findings) > 8:
+                print(f"  and {len(findings) - 8} more", flush=True)
+
+    await asyncio.gather(*(one(plan) for plan in plans))
+    print(f"{len(plans)} runs, {broken} with a broken rule")
+    return 1 if broken else 0
+
+
+def main() -> int:
+    told = options()
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            library = build(Path(folder))
+        except ShimUnavailable as error:
+            print(f"faults: {error}", file=sys.stderr)
+            return 2
+        return asyncio.run(play_all(told, library))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/faults/shim.py
@@ -0,0 +1,58 @@
+"""Builds the preloaded library that makes system calls fail, and writes its plans."""
+
+import errno
+import os
+import shutil
+import subprocess
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("shim.c")
+FOREVER = 1e9  # ms
+
+
+class ShimUnavailable(Exception):
+    """The library can't be built here; the text names what is missing."""
+
+
+@dataclass(frozen=True)
+class Rule:
+    """One kind of call fails, from `since` to `until`, in ms since the run began."""
+
+    operation: str
+    action: str  # an errno's name, "short", "kill", or the wall clock's step in ms, as "+3600000"
+    since: float
+    until: float = FOREVER
+    percent: int = 100
+    most: int = 0  # calls of each process; 0: any number
+
+    def line(self) -> str:
+        code = getattr(errno, self.action, None)
+        action = self.action if code is None else str(code)
+        return f"{self.operation} {action} {self.since:.0f} {self.until:.0f} {self.percent} {self.most}"
+
+
+def build(folder: Path) -> Path:
+    """The library, compiled into `folder`. ShimUnavailable."""
+    compiler = shutil.which("cc") or shutil.which("gcc")
+    if compiler is None:
+        raise ShimUnavailable("no C compiler (cc or gcc) was found: install one to run the fault tests")
+    library = folder / "shim.so"
+    command = [compiler, "-shared", "-fPIC", "-O1", "-o", str(library), str(SOURCE), "-ldl", "-lpthread"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    if done.returncode:
+        raise ShimUnavailable(f"the shim could not be compiled: {done.stderr.strip()}")
+    return library
+
+
+def environment(
+    library: Path, plan: Path, rules: list[Rule], paths: list[Path], seed: int, began: float | None = None
+) -> dict[str, str]:
+    """Writes the plan; what a process needs in its environment to run by it. `began`: monotonic time, s."""
+    base = int((time.monotonic() if began is None else began) * 1e9)
+    plan.write_text("\n".join([str(base), *(rule.line() for rule in rules), ""]))
+    return os.environ | {
+        "LD_PRELOAD": str(library), "FAULT_PLAN": str(plan), "FAULT_SEED": str(seed),
+        "FAULT_PATHS": ":".join(map(str, paths)),
+    }  # fmt: skip
