Try a start again while the operating system fails it, in place of ending the process

Callers saw: a process that exits with status 2 (or 1) shortly after a restart; its clients are refused from then on. Cause: every OSError of a call on the state folder (lock, list, read, create, write, rename, close), of reading the configuration, of making the event loop or of listening was taken for a mistake of the operator's and ended the process. The store alone survived ENOSPC and EDQUOT, and only in the first segment's creation. Evidence: test_start.py failed each call once and six times on a real process: exit 2 for the folder and the configuration, exit 1 for sockets, 17 of 19 tests. Change: rainpier/startup.py tells what may pass from what does not (missing rights, a missing folder, another store's or a later format's segment, a folder or an address in use for longer than 5 s) and repeats the step every 50 ms, with one log record a second, until it succeeds or SIGTERM comes. A store that fails to open leaves its lock and its handles. Until it has its store the process does not serve, so no notice counts as overdue. The sidecar starts the same way. The check that EDGE_STATE is writable went: access() can't tell a lack of rights from a failure; the first write does. So the case of the test that failed access() now fails stat(), which took its place.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -8,36 +8,52 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from typing import TypeVar
 
 from .config.platform import ConfigError, load
 from .config.reload import Reload
 from .fronts.resp.server import Clients
-from .host import finish
+from .host import finish, open_node
 from .membership.platform import Discovery
-from .node.node import Node
 from .observe.events import record
 from .sinks.notices import Notices
+from .startup import Stopped, attempt, new_loop
 from .store.files import InUse
 from .store.store import StoreError
 from .tasks import keep
 
 log = logging.getLogger("rainpier")
+T = TypeVar("T")
 
 
 async def serve() -> None:
+    """The whole life of the process. ConfigError, InUse, StoreError, OSError where it can't start."""
     loop, stop, reload = asyncio.get_running_loop(), asyncio.Event(), Reload(os.environ)
     loop.add_signal_handler(signal.SIGHUP, reload.ask)  # first: unhandled it ends the process
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    config = load(os.environ)
+    try:
+        await run(reload, stop)
+    except Stopped as step:
+        record("process", "stopped_before_ready", step=step)
+
+
+async def run(reload: Reload, stop: asyncio.Event) -> None:
+    loop = asyncio.get_running_loop()
+    config = await attempt("configuration", lambda: in_loop(lambda: load(os.environ)), stop)
     record("process", "starting", pid=os.getpid(), name=config.name)
     discovery = Discovery(config.discovery, config.known, config.settings.senders)
     notices = Notices(config.discovery)
-    node = Node(config, discovery, notices)
+    node = await attempt("store", lambda: in_loop(lambda: open_node(config, discovery, notices)), stop)
     reloading = loop.create_task(keep(lambda: reload.run(config, discovery, notices)))
     await node.start()
     clients = Clients(node.put, config.for_clients)
-    await clients.listen(config.listen)
+    try:
+        await attempt("listen", lambda: clients.listen(config.listen), stop)
+    except Stopped:
+        node.close()
+        raise
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
     record("process", "serving", pid=os.getpid(), name=config.name, held=len(node.store.entries))
     log.info("%d slots, %d descriptors, %d bytes of disk", node.core.s.slots, config.sockets, config.disk)
@@ -46,6 +62,11 @@
     reloading.cancel()
 
 
+async def in_loop(step: Callable[[], T]) -> T:
+    """A step that blocks, and that nothing has to go on beside."""
+    return step()
+
+
 def log_level() -> int:
     """RAINPIER_LOG=debug also logs each refused request and each ended attempt."""
     return logging.DEBUG if os.environ.get("RAINPIER_LOG", "").lower() == "debug" else logging.INFO
@@ -57,7 +78,7 @@
     # Guards the moments before the loop's handlers and after them: SIGHUP must never end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        asyncio.run(serve())
+        new_loop().run(serve())
     except (ConfigError, InUse, StoreError) as error:
         print(f"rainpier: {error}", file=sys.stderr)
         return 2
--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -60,22 +60,40 @@
 # --- run, status ---
 
 
+def wait_until_readable(path: Path) -> None:
+    """Returns once the file can be read, or can't for a reason that will not pass."""
+    from ..startup import RETRY_PAUSE, may_pass
+
+    while True:
+        try:
+            path.read_bytes()
+        except OSError as error:
+            if not may_pass(error):
+                return
+            logging.getLogger("rainpier").warning("%s: %s; trying again", path, error)
+            time.sleep(RETRY_PAUSE)
+        else:
+            return
+
+
 @main.command()
 @click.option("-c", "--config", "path", type=FILE, required=True, help="The sidecar's configuration.")
 def run(path: Path) -> None:
     """Run one sidecar until SIGTERM. SIGHUP: read the configuration again."""
     from ..sidecar import Sidecar, StartError
+    from ..startup import new_loop
 
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     # Guards the moments before the loop's handlers and after them: SIGHUP must never end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    wait_until_readable(path)
     loaded = load(path)
 
     async def serve() -> None:
         await Sidecar(loaded.model, path).run()
 
     try:
-        asyncio.run(serve())
+        new_loop().run(serve())
     except (StartError, ValueError) as error:
         fail(str(error), MISTAKES)
     except OSError as error:
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -3,12 +3,14 @@
 import json
 import math
 import os
+import stat
 from collections.abc import Mapping
 from pathlib import Path
 
 from .. import interface as i
 from ..membership.source import AddressError
 from ..membership.source import address as read_address
+from ..startup import Unavailable, may_pass
 from . import model as m
 from . import place
 
@@ -20,6 +22,10 @@
     """The configuration cannot be used; the text says why in one line."""
 
 
+class ConfigUnavailable(ConfigError, Unavailable):
+    """It can't be read now, and may be readable later."""
+
+
 def read_classes(rows: list[dict]) -> dict[str, m.Class]:
     found: dict[str, m.Class] = {}
     for n, c in enumerate(rows):
@@ -96,6 +102,20 @@
     return value
 
 
+def unreadable(name: str, error: OSError) -> ConfigError:
+    return ConfigUnavailable(f"{name}: {error}") if may_pass(error) else ConfigError(f"{name}: {error}")
+
+
+def check_folder(state: Path) -> None:
+    """ConfigError. Whether it can be written is found out by the store."""
+    try:
+        mode = os.stat(state).st_mode
+    except OSError as error:
+        raise unreadable("EDGE_STATE", error) from error
+    if not stat.S_ISDIR(mode):
+        raise ConfigError(f"EDGE_STATE: not a folder: {str(state)!r}")
+
+
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment names."""
     for name in ("EDGE_CONFIG", "EDGE_STATE"):
@@ -103,11 +123,12 @@
             raise ConfigError(f"{name} is not set")
     try:
         raw = json.loads(Path(env["EDGE_CONFIG"]).read_bytes())
-    except (OSError, ValueError, RecursionError) as error:
+    except OSError as error:
+        raise unreadable("EDGE_CONFIG", error) from error
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}") from error
     state = Path(env["EDGE_STATE"])
-    if not state.is_dir() or not os.access(state, os.W_OK):
-        raise ConfigError(f"EDGE_STATE: not a writable folder: {str(state)!r}")
+    check_folder(state)
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: not a JSON object")
     try:
--- a/rainpier/host.py
+++ b/rainpier/host.py
@@ -5,7 +5,11 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from .config.place import Config
+from .membership.source import Source
 from .node.node import Node
+from .sinks.sink import Sink
+from .store.files import Held, InUse
 
 log = logging.getLogger(__name__)
 SERVE_ON = 0.45  # s after SIGTERM: new connections come for up to 0.4 s
@@ -21,6 +25,14 @@
         ...
 
 
+def open_node(config: Config, source: Source, sink: Sink) -> Node:
+    """A node on its state folder. Unavailable where another try may succeed; else InUse, StoreError."""
+    try:
+        return Node(config, source, sink)
+    except InUse as error:
+        raise Held(str(error)) from error
+
+
 async def finish(node: Node, fronts: Sequence[Listener], begun: float) -> None:
     """Serve for as long as clients still come, then let what is out end; the rest stays in the store."""
     loop = asyncio.get_running_loop()
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -18,13 +18,14 @@
 from .fronts.amqp.desk import desk_of, routes_of
 from .fronts.amqp.server import Front
 from .fronts.resp.server import Clients
-from .host import finish
+from .host import finish, open_node
 from .membership.file import FileList, hosts
 from .node.node import Node
 from .observe.events import counts
 from .sinks.file import FileSink
 from .sinks.notices import Notices
 from .sinks.sink import Sink
+from .startup import Stopped, attempt
 from .store.files import InUse
 from .store.store import StoreError
 from .tasks import keep
@@ -66,7 +67,12 @@
         except OSError as error:
             raise StartError(f"state folder {str(config.state)!r}: {error}") from error
         self.hold_descriptors(config.sockets)
-        await self.serve(config)
+        try:
+            await self.serve(config)
+        except Stopped as step:
+            log.info("told to end before it was ready: %s", step)
+            if self.node is not None:
+                self.node.close()
 
     @staticmethod
     def hold_descriptors(most: int) -> None:
@@ -82,14 +88,15 @@
         loop, sink = asyncio.get_running_loop(), sink_of(self.model)
         self.source = FileList(hosts(self.model))
         try:
-            self.node = node = Node(config, self.source, sink)
+            node = await attempt("store", lambda: self.open(config, sink), self.stop)
         except (InUse, StoreError) as error:
             raise StartError(f"state folder: {error}") from error
+        self.node = node
         if isinstance(sink, FileSink):
             sink.recover(entry.id for entry in node.store.entries.values() if entry.end)
         await node.start()
         self.clients = Clients(node.put, config.for_clients, self.model.resp.password)
-        await self.clients.listen(config.listen)
+        await attempt("listen", lambda: self.clients.listen(config.listen), self.stop)
         await self.listen_amqp(node, config)
         control = Control(config.state / SOCKET, {"status": self.status})
         await control.listen()
@@ -103,6 +110,9 @@
         reloading.cancel()
         await control.close()
 
+    async def open(self, config: Config, sink: Sink) -> Node:
+        return open_node(config, self.source, sink)
+
     async def listen_amqp(self, node: Node, config: Config) -> None:
         if config.amqp is not None:
             self.front = Front(desk_of(node, config), config.amqp, lambda: node.intake.full)
--- a/rainpier/store/files.py
+++ b/rainpier/store/files.py
@@ -6,11 +6,17 @@
 from pathlib import Path
 from typing import Protocol
 
+from ..startup import Contended
+
 
 class InUse(Exception):
     """Another process holds the folder; the text names it."""
 
 
+class Held(Contended):
+    """The same, as a failure that is waited out for a while at a start; its cause is the InUse."""
+
+
 class Files(Protocol):
     """One flat folder. Every call may raise OSError, and `append` may write less than it was given."""
 
@@ -89,14 +95,24 @@
         try:
             fcntl.flock(self.held, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as error:
-            holder = os.pread(self.held, 32, 0).decode("ascii", "replace").strip() or "unknown"
+            holder = self.holder()
             self.unlock()
             raise InUse(f"{str(self.path)!r} is used by process {holder}") from error
+        except OSError:
+            self.unlock()
+            raise
         with suppress(OSError):  # on a full disk nobody learns who holds it, but it is held
             os.ftruncate(self.held, 0)
             os.pwrite(self.held, b"%d\n" % os.getpid(), 0)
 
+    def holder(self) -> str:
+        """Who has the lock, as far as it can be read."""
+        try:
+            return os.pread(self.held, 32, 0).decode("ascii", "replace").strip() or "unknown"
+        except OSError:
+            return "unknown"
+
     def unlock(self) -> None:
-        if self.held >= 0:
-            os.close(self.held)
-            self.held = -1
+        held, self.held = self.held, -1
+        if held >= 0:
+            os.close(held)
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -18,6 +18,7 @@
 
 from ..interface import Outcome
 from ..observe.events import record
+from ..startup import Unavailable, may_pass
 from . import records as r
 from . import upgrade
 from .entry import Entry
@@ -54,6 +55,10 @@
     """The folder can't be used; the text says why."""
 
 
+class StoreUnavailable(StoreError, Unavailable):
+    """A call on the folder failed in a way that may pass: opening it again may succeed."""
+
+
 @dataclass(slots=True)
 class Segment:
     number: int
@@ -116,13 +121,26 @@
             self.begin_log(now)
             self.take_over_journal(names, now)
         except r.Unreadable as error:
+            self.abandon()
             raise StoreError(str(error)) from error
+        except StoreError:
+            self.abandon()
+            raise
         except OSError as error:
-            raise StoreError(f"the state folder can't be used: {error}") from error
+            self.abandon()
+            kind = StoreUnavailable if may_pass(error) else StoreError
+            raise kind(f"the state folder can't be used: {error}") from error
         self.drop_empty()
         if not self.stuck:
             self.keep_reserve()
 
+    def abandon(self) -> None:
+        """Leave the folder as it is, free for the next try to open it."""
+        if self.handle >= 0:
+            self.files.close(self.handle)
+            self.handle = -1
+        self.files.unlock()
+
     def fresh_state(self) -> State:
         most_routes = max(16, self.disk // ROUTES, min(SOME_ROUTES, self.disk // FEW_BYTES))
         return State(most_ended=int(ENDED_SHARE * self.disk / ENDED), most_routes=most_routes)
--- a/tests/faults/test_start.py
+++ b/tests/faults/test_start.py
@@ -8,7 +8,7 @@
 from standins.faults.sender import Sender
 from standins.faults.shim import Rule, build
 
-STORE = ("open", "list", "read", "write", "rename", "lock", "close", "access")
+STORE = ("open", "list", "read", "write", "rename", "lock", "close", "stat")
 SOCKETS = {"socketpair": "ENFILE", "epoll_create": "EMFILE", "epoll_add": "ENOMEM", "socket": "ENFILE",
            "setsockopt": "ENOBUFS", "bind": "EADDRINUSE", "listen": "ENOBUFS"}  # fmt: skip
 CASES = {call: ("EIO", "EINTR", "EMFILE") for call in STORE} | {call: (error,) for call, error in SOCKETS.items()}
--- a/tests/standins/faults/shim.c
+++ b/tests/standins/faults/shim.c
@@ -218,10 +218,10 @@
     return REAL(opendir)(path);
 }
 
-int stat(const char *path, struct stat *out)
+int stat64(const char *path, struct stat64 *out)
 {
     FAILS(below(path), "stat", -1);
-    return REAL(stat)(path, out);
+    return REAL(stat64)(path, out);
 }
 
 int access(const char *path, int mode)
