Never close a store file's descriptor twice where close() failed

Callers would see: answers of one connection on another, or a store that refuses everything for good. Cause: Linux frees the descriptor whatever close() returns. Where the close of a sealed segment failed, the store kept the number, and closed it again with the next segment: by then it may be a client's or a receiver's socket, and two connections share a number from then on. Where it was free, EBADF failed each new segment. The file of ends did the same. Change: Folder.close never raises and logs the failure; the handle is forgotten before it is closed.

--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -11,6 +11,7 @@
 import os
 import time
 from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 
 from ..store.entry import Entry
@@ -52,9 +53,10 @@
         self.torn = size > 0 and os.pread(self.file, 1, size - 1) != b"\n"
 
     def shut(self) -> None:
-        if self.file >= 0:
-            os.close(self.file)
-            self.file = -1
+        file, self.file = self.file, -1
+        if file >= 0:
+            with suppress(OSError):  # the descriptor is gone all the same
+                os.close(file)
 
     def close(self) -> None:
         super().close()
--- a/rainpier/store/files.py
+++ b/rainpier/store/files.py
@@ -1,11 +1,13 @@
 """The store's only way to the disk: few calls, so that a test can fail each of them."""
 
 import fcntl
+import logging
 import os
 from contextlib import suppress
 from pathlib import Path
 from typing import Protocol
 
+from ..observe.events import record
 from ..startup import Contended
 
 
@@ -34,7 +36,9 @@
 
     def sync(self, handle: int) -> None: ...
 
-    def close(self, handle: int) -> None: ...
+    def close(self, handle: int) -> None:
+        """Never raises: the handle is gone whatever the system says, and its number may be used again."""
+        ...
 
     def rename(self, old: str, new: str) -> None: ...
 
@@ -75,7 +79,10 @@
         os.fdatasync(handle)
 
     def close(self, handle: int) -> None:
-        os.close(handle)
+        try:
+            os.close(handle)
+        except OSError as error:
+            record("store_call_failed", "close", level=logging.WARNING, error=error)
 
     def rename(self, old: str, new: str) -> None:
         os.replace(self.path / old, self.path / new)
@@ -88,7 +95,7 @@
         try:
             os.fsync(handle)
         finally:
-            os.close(handle)
+            self.close(handle)
 
     def lock(self) -> None:
         self.held = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -115,4 +122,4 @@
     def unlock(self) -> None:
         held, self.held = self.held, -1
         if held >= 0:
-            os.close(held)
+            self.close(held)
--- /dev/null
+++ b/tests/store/test_close.py
@@ -0,0 +1,54 @@
+"""A close that fails: on Linux the descriptor is gone whatever close() returns."""
+
+import errno
+import os
+
+from rainpier.store.files import Folder
+from rainpier.store.store import Store
+
+from .plays import DISK, START, Play
+
+
+class Descriptors:
+    """Counts closes of descriptors that were not open any more."""
+
+    def __init__(self, monkeypatch):
+        self.fail, self.twice, self.real = 0, [], os.close
+        monkeypatch.setattr(os, "close", self.close)
+
+    def close(self, handle):
+        try:
+            self.real(handle)
+        except OSError as error:
+            if error.errno == errno.EBADF:
+                self.twice.append(handle)
+            raise
+        if self.fail:
+            self.fail -= 1
+            raise OSError(errno.EIO, "injected")
+
+
+def test_failed_close_of_a_segment_never_closes_its_descriptor_again(tmp_path, monkeypatch):
+    """Guards against a second close() of a number that may be a client's socket by then."""
+    descriptors = Descriptors(monkeypatch)
+    store = Store(Folder(tmp_path), DISK, START)
+    for n in range(4):
+        descriptors.fail = 1
+        store.roll(START + n)
+    store.close()
+    assert not descriptors.twice
+
+
+def test_store_goes_on_after_failed_closes(tmp_path, monkeypatch):
+    """Guards against a store that refuses everything for good once a close() failed."""
+    play = Play(Folder(tmp_path), seed=3, segment=1200)
+    play.disk.calls = 0
+    descriptors = Descriptors(monkeypatch)
+    descriptors.fail = 1_000_000
+    for _ in range(60):
+        play.step()
+    assert not descriptors.twice and not play.store.broken and not play.store.waiting
+    play.store.close()
+    again = Store(Folder(tmp_path), DISK, play.now)
+    assert again.entries == play.store.entries
+    again.close()
