Give the RESP parser a new start after each request that it refuses

Callers would see: after one client's odd request, every request of every client answered with a protocol error, until a restart. Cause: one parser serves all connections, and hiredis keeps an error for good. Lengths with a leading zero pass the sender's own framing and are refused by hiredis, so one such request ended the service of all. Evidence: the test fails before: PING on another connection is answered '-ERR Protocol error: Bad bulk string length'. Change: RequestParser replaces its reader after an error, and takes a request that is not whole for one.

--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -83,6 +83,26 @@
     )  # fmt: skip
 
 
+class RequestParser:
+    """Parses whole requests, one at a time, for any number of connections."""
+
+    def __init__(self) -> None:
+        self.reader = hiredis.Reader()
+
+    def parse(self, data: bytes) -> list[bytes]:
+        """The request's parts. hiredis.ProtocolError, which leaves nothing behind for the next request."""
+        try:
+            self.reader.feed(data)
+            request = self.reader.gets()
+        except hiredis.ProtocolError:
+            self.reader = hiredis.Reader()
+            raise
+        if not isinstance(request, list):
+            self.reader = hiredis.Reader()
+            raise hiredis.ProtocolError("not a whole array of bulk strings")
+        return request
+
+
 def frame(data: bytearray, start: int = 0) -> int:
     """Where the request ends that begins at start; 0 while it is not whole.
 
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -12,7 +12,7 @@
 
 from ...handed import Answered, Handed
 from ...observe.events import record
-from .requests import BadRequest, error, frame, parse_put, shown, worded
+from .requests import BadRequest, RequestParser, error, frame, parse_put, shown, worded
 from .session import Session
 
 log = logging.getLogger(__name__)
@@ -133,9 +133,9 @@
         at, turn = 0, TURN
         try:
             while turn and not self.crowded and (end := frame(self.buffer, at)):
-                self.clients.parser.feed(bytes(self.buffer[at:end]))
+                request = self.clients.parser.parse(bytes(self.buffer[at:end]))
                 at, turn, self.proven = end, turn - 1, True
-                self.answers.append(self.clients.answer(self.clients.parser.gets(), self.session))
+                self.answers.append(self.clients.answer(request, self.session))
                 if self.session.quit:  # what comes behind a QUIT is not taken up
                     self.last, self.deaf, at, turn = True, True, len(self.buffer), 0
         except hiredis.ProtocolError as failure:
@@ -257,7 +257,7 @@
     def __init__(self, put: Callable[[Handed], Answered], most: int, password: str = "") -> None:
         self.put, self.most, self.password = put, most, password
         self.loop = asyncio.get_running_loop()
-        self.parser = hiredis.Reader()
+        self.parser = RequestParser()
         self.incoming = memoryview(bytearray(READ))  # each read is taken up before the next one begins
         self.connections: set[Connection] = set()
         self.socket: socket.socket | None = None
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -431,3 +431,18 @@
             assert len(clients.timers) <= 2
 
     drive(story())
+
+def test_request_that_the_parser_refuses_ends_no_other_connection():
+    """Guards against one client's request breaking the requests of all others for good."""
+
+    async def story():
+        clients = Clients(lambda handed: Taken(), 10)
+        await clients.listen(("127.0.0.1", 0))
+        for bad in (b"*1\r\n$04\r\nPING\r\n", b"*1\r\n$004\r\nPING\r\n", b"*2\r\n$4\r\nPING\r\n$00\r\n\r\n"):
+            async with Client(clients.port) as odd, Client(clients.port) as other:
+                assert (await odd.ask(bad)).startswith("-ERR Protocol error")
+                assert await odd.answer() is None
+                assert await other.ask(command("PING")) == "PONG"
+        await clients.close(within=0.2)
+
+    drive(story())
