Ask again for a watch on a descriptor that epoll refused for a moment

Callers would see: a listener that accepts nobody any more, or connections on which requests are never read. Cause: epoll_ctl(EPOLL_CTL_ADD) fails with ENOMEM or ENOSPC for a moment, and asyncio then forgets the descriptor: the listener after a pause, a connection just made, a connect that waits.

--- a/rainpier/startup.py
+++ b/rainpier/startup.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from .observe.events import record
+from .selector import RetryingSelector
 
 T = TypeVar("T")
 RETRY_PAUSE = 0.05  # s between two tries of the same step
@@ -62,10 +63,20 @@
     raise Stopped(step)
 
 
+def make_loop() -> asyncio.AbstractEventLoop:
+    """OSError, with nothing left open."""
+    selector = RetryingSelector()
+    try:
+        return asyncio.SelectorEventLoop(selector)
+    except OSError:
+        selector.close()
+        raise
+
+
 def new_loop() -> asyncio.Runner:
     """An event loop; making one takes descriptors, of which the system may be short for a moment. OSError."""
     while True:
-        runner = asyncio.Runner()
+        runner = asyncio.Runner(loop_factory=make_loop)
         try:
             runner.get_loop()
         except OSError as error:
