Keep a connection whose receive or send fails for want of memory

Cause: recv() and send() fail with ENOMEM or ENOBUFS for a moment; asyncio's transport takes any error but EAGAIN and EINTR for the end of the connection, and drops the answers that are due on it. On a receiver's connection it makes a reset of the call. A TCP_NODELAY that fails raised out of connection_made. Evidence: tests/faults/test_sockets.py failed for recv and send with ENOMEM and ENOBUFS and for setsockopt, 5 of 10, before. Change: rainpier/sockets.py, the sockets of all fronts and carriers: such a call reads as 'would block', and is made again when the loop next finds the socket ready. A connection that can't be set up closes its socket at once. Result: the 10 pass; with the fronts', carriers' and the sidecar's tests 334 pass.

--- a/rainpier/carriers/amqp/link.py
+++ b/rainpier/carriers/amqp/link.py
@@ -9,6 +9,7 @@
 from ...amqp import codes
 from ...amqp import connection as a
 from ...amqp.channel import Content
+from ...sockets import stream_socket
 from .options import BrokerOptions
 from .outcomes import Astray, Lane, Publish, What
 
@@ -248,5 +249,11 @@
 
 async def connect(address: tuple[str, int], options: BrokerOptions, ended: Callable[[Link], None]) -> Link:
     """OSError where nobody listens; the handshake goes on: see Link.up."""
-    _, link = await asyncio.get_running_loop().create_connection(lambda: Link(options, ended), *address)
+    loop, sock = asyncio.get_running_loop(), stream_socket(address[0])
+    try:
+        await loop.sock_connect(sock, address)
+        _, link = await loop.create_connection(lambda: Link(options, ended), sock=sock)
+    except BaseException:
+        sock.close()
+        raise
     return link
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from ...sockets import stream_socket
+
 MAX_HEAD = 16384  # bytes before an answer's body, with all 1xx heads ahead of it
 REST = 0.5  # s from an answer's first byte to its last: what takes longer is not going to end
 READ = 65536  # bytes of one read
@@ -135,10 +137,8 @@
     @classmethod
     async def open(cls, address: tuple[str, int]) -> "Connection":
         loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        sock = stream_socket(address[0])
         try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await loop.sock_connect(sock, address)
             _, connection = await loop.create_connection(lambda: cls(sock), sock=sock)
             return connection
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -8,7 +8,8 @@
 
 from ...amqp import connection as a
 from ...config.types import write_address
-from ..resp.server import BACKLOG, family
+from ...sockets import listening_socket
+from ..resp.server import BACKLOG
 from .options import Options
 from .session import Desk, Session
 
@@ -152,10 +153,8 @@
         self.swept, self.ended, self.gone = self.loop.time(), False, asyncio.Event()
 
     async def listen(self) -> None:
-        address = self.options.listen
-        self.server = await self.loop.create_server(
-            self.make, *address, family=family(address[0]), backlog=BACKLOG
-        )
+        listening = listening_socket(self.options.listen, BACKLOG)
+        self.server = await self.loop.create_server(self.make, sock=listening, backlog=BACKLOG)
         self.look()
 
     @property
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -12,6 +12,7 @@
 
 from ...handed import Answered, Handed
 from ...observe.events import record
+from ...sockets import listening_socket
 from .requests import BadRequest, RequestParser, error, frame, parse_put, shown, worded
 from .session import Session
 
@@ -267,8 +268,7 @@
         self.timers: dict[str, asyncio.TimerHandle] = {}
 
     async def listen(self, address: tuple[str, int]) -> None:
-        self.socket = socket.create_server(address, family=family(address[0]), backlog=BACKLOG)
-        self.socket.setblocking(False)
+        self.socket = listening_socket(address, BACKLOG)
         self.accept_more()
         self.look()
 
@@ -376,10 +376,11 @@
         connection = Connection(self, peer)
         self.connections.add(connection)
         made = self.loop.create_task(self.loop.connect_accepted_socket(lambda: connection, peer))
-        made.add_done_callback(lambda task: self.made(task, connection))
+        made.add_done_callback(lambda task: self.made(task, connection, peer))
 
-    def made(self, task: asyncio.Task, connection: Connection) -> None:
+    def made(self, task: asyncio.Task, connection: Connection, peer: socket.socket) -> None:
         if task.cancelled() or task.exception() is not None:
+            peer.close()
             self.lost(connection)
 
     def turn_away(self, peer: socket.socket) -> None:
@@ -434,7 +435,3 @@
         if len(args) > 1:
             raise BadRequest("wrong number of arguments for 'PING'")
         return b"$%d\r\n%s\r\n" % (len(args[0]), args[0]) if args else b"+PONG\r\n"
-
-
-def family(host: str) -> socket.AddressFamily:
-    return socket.AF_INET6 if ":" in host else socket.AF_INET
