Neither spin nor throw out idle clients while accept() fails

Callers saw: idle connections reset, and under ECONNABORTED a process that used a whole core and answered late. Cause: ENFILE, ENOBUFS and ENOMEM, the system's shortages, were taken for a full table of the process's own: each failed accept closed one client's idle connection, 50 a second. ECONNABORTED returned to the loop with the listener still ready, at once. Change: any failed accept pauses for 20 ms; errors of the one connection are passed over up to 8 times a turn; only EMFILE that lasts for 0.1 s closes a connection, and only one without an open request for 0.2 s. One log record a second.

--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -30,7 +30,14 @@
 ACCEPTS = 32  # new connections in one turn of the loop
 PAUSE = 0.02  # s without new connections while there is no room for them
 SHORT = 0.3  # s without room after which new connections are turned away: a client waits 0.4 s
-NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+FULL_TABLE_TIME = 0.1  # s with no descriptor left after which an idle connection is closed for one
+LOG_INTERVAL = 1.0  # s between log records of failing accepts
+MOST_ABORTED = 8  # connections in one turn of the loop that ended before they were accepted
+# Errors of the one connection that was to be accepted: the next one may be well (accept(2)).
+ABORTED = frozenset((
+    errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.ENOPROTOOPT, errno.EPERM, errno.ENETDOWN,
+    errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT,
+))  # fmt: skip
 
 Reply = Answered | bytes  # bytes: of the session itself
 
@@ -263,6 +270,8 @@
         self.connections: set[Connection] = set()
         self.socket: socket.socket | None = None
         self.short_since: float | None = None
+        self.failing_since: float | None = None  # of accept()
+        self.accept_logged = -LOG_INTERVAL  # loop time, s
         self.lingering: set[Connection] = set()  # of them, those that wait for the client's own end only
         self.ended, self.hurried, self.gone = False, False, asyncio.Event()
         self.timers: dict[str, asyncio.TimerHandle] = {}
@@ -315,6 +324,7 @@
 
     def accept(self) -> None:
         assert self.socket is not None
+        aborted = 0
         for n in range(ACCEPTS):
             if len(self.connections) < self.most:
                 self.short_since = None
@@ -324,24 +334,39 @@
                 return self.pause()
             try:
                 peer, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
             except OSError as failure:
-                if failure.errno in NO_DESCRIPTOR:
-                    self.free_one(anyhow=True)
-                fields = {"error": failure, "connections": len(self.connections)}
-                reason = errno.errorcode.get(failure.errno or 0, "other")
-                record("accept_failed", reason, level=logging.WARNING, **fields)
-                return self.pause()
+                aborted += 1
+                if failure.errno in ABORTED and aborted < MOST_ABORTED:
+                    continue
+                return self.accept_failed(failure)
+            self.failing_since = None
             self.take(peer) if len(self.connections) < self.most else self.turn_away(peer)
 
+    def accept_failed(self, failure: OSError) -> None:
+        """Listen on a little later: guards the processor, since who waits keeps the listener ready."""
+        now = self.loop.time()
+        self.failing_since = now if self.failing_since is None else self.failing_since
+        due = now - self.accept_logged >= LOG_INTERVAL
+        if due:
+            self.accept_logged = now
+        reason = errno.errorcode.get(failure.errno or 0, "other")
+        level = logging.WARNING if due else logging.DEBUG
+        record("accept_failed", reason, level=level, error=failure, connections=len(self.connections))
+        # Only a table of this process's own gets room by closing its connections.
+        if failure.errno == errno.EMFILE and now - self.failing_since > FULL_TABLE_TIME:
+            self.failing_since = now
+            self.free_one()
+        self.pause()
+
     def must_turn_away(self) -> bool:
         """Whether there has been no room for so long that who waits is better told."""
         now = self.loop.time()
         self.short_since = now if self.short_since is None else self.short_since
         return now - self.short_since > SHORT
 
-    def free_one(self, anyhow: bool = False) -> bool:
+    def free_one(self) -> bool:
         """Close the connection that is missed least: guards the clients at work against a silent crowd.
 
         First those that wait only for the client's own end, then those that have sent no whole request yet,
@@ -354,12 +379,11 @@
                 connection.transport.abort()
             return True
         now = self.loop.time()
-        idle_time = 0.0 if anyhow else IDLE_TIME
         able = [
             (c.proven, c.since, c)
             for c in self.connections
             if not c.closing and not c.answers and not (c.proven and c.buffer)
-            and now - c.since > (idle_time if c.proven else min(idle_time, UNPROVEN_TIME))
+            and now - c.since > (IDLE_TIME if c.proven else UNPROVEN_TIME)
         ]  # fmt: skip
         for proven, _, connection in sorted(able, key=lambda a: a[:2]):
             if connection.unread():
