Look on at all client connections where one can't be ended in order

Callers would see: half requests and unread answers that are held for ever, after one client reset its connection. Cause: shutdown() of a connection that its client has reset raises ENOTCONN; the exception left the periodic look, which arms its own next timer last, so that it never ran again. Change: such a connection is dropped at once, and no connection's failure ends the look.

--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -235,7 +235,10 @@
             if not self.deaf or self.eof:
                 return self.transport.close()
             self.clients.lingering.add(self)
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:  # the client has ended it already
+                return self.transport.abort()
             if self.paused:
                 self.paused = False
                 self.transport.resume_reading()
@@ -433,7 +436,10 @@
         """Guards against connections that say nothing, or half a request, for ever."""
         now = self.loop.time()
         for connection in list(self.connections):
-            connection.look(now)
+            try:
+                connection.look(now)
+            except Exception:
+                log.exception("a client's connection could not be looked at")
         self.timers["look"] = self.loop.call_later(LOOK, self.look)
 
     # --- requests ---
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -446,3 +446,30 @@
         await clients.close(within=0.2)
 
     drive(story())
+
+
+def test_connection_that_cannot_be_closed_in_order_holds_up_no_other(monkeypatch):
+    """Guards against a periodic look that stops for good at one connection that its client has reset."""
+    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.3)
+
+    async def story():
+        clients = Clients(lambda handed: Taken(), 10)
+        await clients.listen(("127.0.0.1", 0))
+        async with Client(clients.port) as first, Client(clients.port) as second:
+            for client in (first, second):
+                client.writer.write(b"*1\r\n$4\r\nPI")
+            await until(lambda: sum(bool(c.buffer) for c in clients.connections) == 2)
+            broken = list(clients.connections)
+
+            def gone():
+                raise OSError(107, "Transport endpoint is not connected")
+
+            for connection in broken:
+                monkeypatch.setattr(connection.transport, "write_eof", gone)
+            await until(lambda: not clients.connections)
+            async with Client(clients.port) as third:
+                third.writer.write(b"*1\r\n$4\r\nPI")
+                assert (await third.answer()).startswith("-ERR no whole request in time")
+        await clients.close(within=0.2)
+
+    drive(story())
