Tell an end at its message's deadline though the store can't record it

Callers saw: a message that was taken on and got no answer, for as long as the state folder could not be written. Cause: an end waits for its record, so that the next process does not send what was handed back. Behind the deadline the next process sends nothing whatever it finds, so the wait guards nothing there, and the notice is due within 300 ms. The record is still written later.

--- a/rainpier/node/ends.py
+++ b/rainpier/node/ends.py
@@ -29,6 +29,7 @@
         self.core, self.store, self.sink, self.out = core, core.store, sink, out
         self.held: Counter[int] = Counter()  # by destination: messages in the store
         self.late: Schedule[int] = Schedule()  # messages, by when they are ended whatever the module says
+        self.unrecorded: Schedule[int] = Schedule()  # messages whose end is decided, by their deadline
         self.owed: Counter[str] = Counter()  # by reply queue: ends that will go there
         self.replies: Callable[[Entry, str], None] | None = None  # takes the ends of messages with a reply-to
 
@@ -106,7 +107,25 @@
     def conclude(self, entry: Entry, end: str, retry: int) -> None:
         fields = {"id": entry.id, "class": entry.cls, "destination": entry.destination}
         record("message_ended", end, **fields, attempts=entry.attempts, may_have_run=bool(entry.risky_at))
-        self.store.end(entry, end, retry, lambda: self.ended(entry))  # told only once it is written
+        self.unrecorded.set(entry.number, entry.deadline)
+        self.store.end(entry, end, retry, lambda: self.on_recorded(entry))
+
+    def on_recorded(self, entry: Entry) -> None:
+        """The end stands in the store, so it may be told, unless it was told already."""
+        if entry.number in self.unrecorded:
+            self.unrecorded.drop(entry.number)
+            self.ended(entry)
+
+    def tell_overdue(self) -> None:
+        """Ends that can't be recorded are told at their message's deadline.
+
+        Before it the record has to come first: the next process would send the message again. After it none
+        does, whatever it finds recorded, so the notice need not wait for the disk.
+        """
+        for number in self.unrecorded.due(self.core.now):
+            if (entry := self.store.entries.get(number)) is not None:
+                record("end_told_unrecorded", entry.end, level=logging.WARNING, id=entry.id)
+                self.ended(entry)
 
     def ended(self, entry: Entry) -> None:
         self.tell(entry, entry.end)
@@ -143,3 +162,4 @@
             log.error("message %s was not ended in time; given up", entry.id)
             self.core.push(i.Withdrawn(entry.number))
             self.conclude(entry, GIVEN_UP, 0)
+        self.tell_overdue()
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -93,7 +93,9 @@
             raise StartError(f"state folder: {error}") from error
         self.node = node
         if isinstance(sink, FileSink):
-            sink.recover(entry.id for entry in node.store.entries.values() if entry.end)
+            # An end may have been told with no record of it, but only behind its message's deadline.
+            now = node.core.now
+            sink.recover(e.id for e in node.store.entries.values() if e.end or e.deadline <= now)
         await node.start()
         self.clients = Clients(node.put, config.for_clients, self.model.resp.password)
         await attempt("listen", lambda: self.clients.listen(config.listen), self.stop)
