Carry deadlines and repeat windows over a restart by the monotonic clock

Callers saw: after a step of the wall clock between two processes, untried messages given up though they had time left, notices late by the time that the process was down, keyed messages not repeated inside their window. Cause: the store keeps Unix time and the next process read the wall clock; a step back was guessed to be no time at all, a step forward ended what was held. Change: store/clock.py: the store's times are those of one timeline, which each process takes up from an anchor record by the span on the monotonic clock. Over a reboot (boot_id) the wall clock counts as before: a deadline may then be late by a step back, a window is never taken for open. Store format 4; it reads 1 to 3. Two spans in the sidecar (up_s, the pause between log lines of the file of ends) go by the monotonic clock too.

--- a/rainpier/node/core.py
+++ b/rainpier/node/core.py
@@ -7,6 +7,8 @@
 
 from .. import interface as i
 from ..config.place import Config
+from ..observe.events import record
+from ..store.clock import Reading
 from ..store.commit import Commit
 from ..store.files import Folder
 from ..store.store import Store
@@ -19,8 +21,11 @@
         self.config, self.push = config, push
         self.loop = asyncio.get_running_loop()
         self.s = replace(config.settings, ends_answered=True)
-        self.epoch = time.time() * 1000 - self.loop.time() * 1000  # one clock for all processes
-        self.store = Store(Folder(config.state), config.disk, self.now, config.machine)
+        reading, wall = Reading.take(), time.time() * 1000
+        self.store = Store(Folder(config.state), config.disk, wall, config.machine, reading)
+        self.epoch = self.store.opened_at - reading.monotonic  # of the timeline, on the loop's clock, ms
+        span = self.store.opened_at - wall
+        record("clock", "wall" if not reading.boot else "monotonic", ahead_of_wall_ms=round(span))
         self.commit = Commit(self.store)
         self.classes: dict[str, int] = {}  # numbers by name
         self.name_classes()
@@ -29,7 +34,7 @@
 
     @property
     def now(self) -> float:
-        """Unix time, ms."""
+        """The time on the timeline that all processes of the sender share (store/clock.py), ms."""
         return self.loop.time() * 1000 + self.epoch
 
     def name_classes(self) -> None:
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -48,7 +48,7 @@
     """One process: a file's model, and all that runs by it."""
 
     def __init__(self, model: m.Model, path: Path) -> None:
-        self.model, self.path, self.started = model, path, time.time()
+        self.model, self.path, self.started = model, path, time.monotonic()
         self.seed = int.from_bytes(os.urandom(8))
         self.reloader = Reloader(path, model, self.apply)
         self.stop = asyncio.Event()
@@ -142,7 +142,7 @@
         return {
             "name": model.sidecar.name, "pid": os.getpid(), "file": str(self.path),
             "listen": write_address((model.resp.listen[0], self.clients.port)),
-            "up_s": round(time.time() - self.started, 1),
+            "up_s": round(time.monotonic() - self.started, 1),
             "held": len(node.store.entries), "out": len(node.calls.out),
             "ends_waiting": len(node.sink.waiting),
             "no_room": node.core.stalled,  # attempts can't be recorded, so none begins
--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -37,7 +37,7 @@
     def __init__(self, path: Path, rotate_at: int, keep: int) -> None:
         super().__init__()
         self.path, self.rotate_at, self.keep = path, rotate_at, keep
-        self.file, self.torn, self.warned = -1, False, 0.0
+        self.file, self.torn, self.warned = -1, False, -LOGGED
         self.known: set[str] = set()  # ids told by an earlier process, until they are added again
 
     # --- the file ---
@@ -116,8 +116,8 @@
             self.look()
             self.write(b"".join(line(entry, now) for entry in fresh))
         except OSError as error:
-            if now - self.warned > LOGGED:
-                self.warned = now
+            if time.monotonic() - self.warned > LOGGED:
+                self.warned = time.monotonic()
                 log.error("sink: %s: %s; trying again until it can be written", self.path, error)
             return False
         self.known.difference_update(entry.id for entry in batch)
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -19,10 +19,11 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from .clock import BOOT_ID_SIZE, Anchor, Reading
 from .entry import Entry
 
-MAGIC, VERSION = b"RPSTORE\n", 3
-READS = (1, 2, 3)  # 2: messages may name a reply queue; 3: and a tenant
+MAGIC, VERSION = b"RPSTORE\n", 4
+READS = (1, 2, 3, 4)  # 2: messages may name a reply queue; 3: and a tenant; 4: anchors of the clock
 HEAD, FRAME = struct.Struct("<8sHHIQI"), struct.Struct("<III")
 CRC, REST = struct.Struct("<I"), struct.Struct("<II")
 HEAD_SIZE = HEAD.size + CRC.size
@@ -36,6 +37,7 @@
     struct.Struct("<HBBd"),
 )
 START, UPGRADED, BIND = struct.Struct("<Qd"), struct.Struct("<QI"), struct.Struct("<H")
+CLOCK = struct.Struct(f"<dd{BOOT_ID_SIZE}s")
 HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT = 1, 2, 4, 8, 16, 32  # flags of a message
 ENDS = ("", "given_up", "handed_back")
 GROUPS = ("all", "zone")
@@ -56,6 +58,7 @@
     OUTAGE = 12  # a route is down, or answers again
     START = 13  # a process began, at that time
     UPGRADED = 14  # size and checksum of the journal that this segment was made of
+    CLOCK = 15  # where the timeline stood at a reading of the monotonic clock
 
 
 class Unreadable(ValueError):
@@ -139,7 +142,10 @@
         Kind.RESULT: (0, RESULT.size),
         Kind.OVER: (0, KEY.size),
     }.get(kind)
-    fixed = {Kind.END: END.size, Kind.NEXT: KEY.size, Kind.START: START.size, Kind.UPGRADED: UPGRADED.size}
+    fixed = {
+        Kind.END: END.size, Kind.NEXT: KEY.size, Kind.START: START.size, Kind.UPGRADED: UPGRADED.size,
+        Kind.CLOCK: CLOCK.size,
+    }  # fmt: skip
     if step is not None:
         return length >= step[0] and (length - step[0]) % step[1] == 0
     return kind in iter(Kind) and length == fixed.get(kind, length)
@@ -255,6 +261,15 @@
     return entry
 
 
+def write_anchor(anchor: Anchor) -> bytes:
+    return CLOCK.pack(anchor.timeline, anchor.reading.monotonic, anchor.reading.boot)
+
+
+def read_anchor(data: bytes) -> Anchor:
+    timeline, monotonic, boot = CLOCK.unpack(data)
+    return Anchor(timeline, Reading(monotonic, boot))
+
+
 def pairs(data: bytes, form: struct.Struct, at: int = 0) -> Iterator[tuple]:
     if (len(data) - at) % form.size:
         raise Unreadable("a list that does not end where it should")
--- a/rainpier/store/recovery.py
+++ b/rainpier/store/recovery.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from . import records as r
+from .clock import Reading
 from .records import Head, Scan
 from .state import UNKNOWN, State
 
@@ -39,6 +40,7 @@
     next_seq: int = 1
     doubtful: list[int] = field(default_factory=list)  # messages that count as having run for want of proof
     foreign: str = ""  # a segment of another store
+    now: float = 0.0  # the timeline's time at the start, ms
 
     @property
     def harm(self) -> bool:
@@ -88,7 +90,9 @@
     def say(self, file: str, at: int, text: str, harm: bool) -> None:
         self.out.findings.append(Finding(file, at, text, harm))
 
-    def run(self, files: Mapping[str, bytes], index: bytes | None, now: float) -> Recovered:
+    def run(
+        self, files: Mapping[str, bytes], index: bytes | None, wall: float, reading: Reading | None
+    ) -> Recovered:
         scans = self.scans(files)
         expected: int | None = None
         for n, (name, scan) in enumerate(scans):
@@ -99,7 +103,8 @@
             self.compare(index)
         self.doubt()
         before = self.out.state.put_back
-        self.out.state.clock(now)
+        self.out.now = self.out.state.time_at(reading, wall)
+        self.out.state.clock(self.out.now)
         if self.out.state.put_back > before:
             back = (self.out.state.put_back - before) / 1000
             self.say("", 0, f"the clock was put back by {back:.0f} s since the last record", harm=False)
@@ -192,10 +197,14 @@
 
 
 def recover(
-    files: Mapping[str, bytes], index: bytes | None, now: float, state: State | None = None
+    files: Mapping[str, bytes],
+    index: bytes | None,
+    wall: float,
+    state: State | None = None,
+    reading: Reading | None = None,
 ) -> Recovered:
-    """From the bytes of all segments, by file name. `now`: Unix time, ms. Unreadable: a later format's."""
-    return Recovery(state or State()).run(files, index, now)
+    """From the bytes of all segments, by file name. `wall`: Unix time, ms. Unreadable: a later format's."""
+    return Recovery(state or State()).run(files, index, wall, reading)
 
 
 def touched(found: Recovered) -> Iterable[str]:
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -6,6 +6,7 @@
 
 from ..interface import Outcome
 from . import records as r
+from .clock import Anchor, Reading
 from .entry import Entry
 from .records import Kind
 
@@ -29,6 +30,7 @@
     starts: int = 0  # processes so far
     latest: float = 0.0  # latest time in any record, Unix ms
     upgraded: tuple[int, int] | None = None
+    anchor: Anchor | None = None  # of the latest process that could tell its boot
     home: dict[int, int] = field(default_factory=dict)  # by message: the segment of its whole record
     since: dict[int, int] = field(default_factory=dict)  # by message: that record's sequence number
     seen_home: dict[str, int] = field(default_factory=dict)
@@ -153,6 +155,11 @@
         self.starts = max(self.starts, starts)
         self.clock(time)
 
+    def time_at(self, reading: Reading | None, wall: float) -> float:
+        """The timeline's time, ms: by the monotonic clock within one boot, else by the wall clock."""
+        found = self.anchor.at(reading) if self.anchor is not None and reading is not None else None
+        return wall if found is None else max(found, self.latest)
+
     def clock(self, now: float) -> None:
         """A process began. A clock that was put back says nothing of how long it was away."""
         back = self.latest - now
@@ -169,6 +176,9 @@
         self.waits = {name: until - back for name, until in self.waits.items()}
         self.outages = dict.fromkeys(self.outages, now)
 
+    def on_clock(self, data: bytes, segment: int, seq: int) -> None:
+        self.anchor = r.read_anchor(data)
+
     def on_upgraded(self, data: bytes, segment: int, seq: int) -> None:
         self.upgraded = r.UPGRADED.unpack(data)
 
@@ -176,5 +186,5 @@
         Kind.CLASS: on_class, Kind.MESSAGE: on_message, Kind.BEGIN: on_begin, Kind.RESULT: on_result,
         Kind.END: on_end, Kind.OVER: on_over, Kind.SEEN: on_seen, Kind.NEXT: on_next, Kind.NAMES: on_names,
         Kind.BIND: on_bind, Kind.WAIT: on_wait, Kind.OUTAGE: on_outage, Kind.START: on_start,
-        Kind.UPGRADED: on_upgraded,
+        Kind.UPGRADED: on_upgraded, Kind.CLOCK: on_clock,
     }  # fmt: skip
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -21,6 +21,7 @@
 from ..startup import Unavailable, may_pass
 from . import records as r
 from . import upgrade
+from .clock import Anchor, Reading
 from .entry import Entry
 from .files import Files
 from .records import Head, Kind
@@ -82,10 +83,14 @@
 class Store:
     """What must last. `machine`: a promise counts once it is on the disk itself (see commit.py)."""
 
-    def __init__(self, files: Files, disk: int, now: float, machine: bool = False) -> None:
+    def __init__(
+        self, files: Files, disk: int, now: float, machine: bool = False, reading: Reading | None = None
+    ) -> None:
+        """`now`: Unix time, ms; `reading`: of the monotonic clock, at the same moment."""
         self.files, self.disk, self.machine = files, disk, machine
         self.segment_size = max(LEAST_SEGMENT, min(MOST_SEGMENT, disk // SEGMENTS))
-        self.state = State()
+        self.state, self.reading = State(), reading
+        self.opened_at = now  # on the timeline, ms
         self.segments: deque[Segment] = deque()
         self.by_number: dict[int, Segment] = {}
         self.total = 0  # bytes that the segments count
@@ -118,8 +123,8 @@
             self.recover(names, now)
             self.clear(names)
             self.adopt_reserve(names)
-            self.begin_log(now)
-            self.take_over_journal(names, now)
+            self.begin_log(self.opened_at)
+            self.take_over_journal(names, self.opened_at)
         except r.Unreadable as error:
             self.abandon()
             raise StoreError(str(error)) from error
@@ -148,7 +153,8 @@
     def recover(self, names: list[str], now: float) -> None:
         data = {name: self.files.read(name) for name in names if segment_number(name) is not None}
         index = self.files.read(INDEX) if INDEX in names else None
-        self.found = found = recover(data, index, now, self.fresh_state())
+        self.found = found = recover(data, index, now, self.fresh_state(), self.reading)
+        self.opened_at = found.now
         if found.foreign:
             raise StoreError(f"{found.foreign} belongs to another store: move it away")
         self.state, self.seq = found.state, found.next_seq
@@ -315,6 +321,8 @@
         """What each segment repeats, so that older ones can go: little, and bounded."""
         state = self.state
         records = [(Kind.START, r.START.pack(state.starts, now)), (Kind.NEXT, r.KEY.pack(state.next))]
+        if self.reading is not None and self.reading.boot:
+            records.append((Kind.CLOCK, r.write_anchor(Anchor(self.opened_at, self.reading))))
         records += [(Kind.CLASS, self.class_record(n, bound)) for n, bound in state.classes.items()]
         records += [
             (Kind.WAIT, r.TIME.pack(t) + route.encode()) for route, t in state.waits.items() if t > now
--- a/rainpier/store/tool.py
+++ b/rainpier/store/tool.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from . import records as r
+from .clock import Reading
 from .files import Folder
 from .recovery import Recovered, recover, segment_name, segment_number, touched
 from .store import FRESH, INDEX, RESERVE, Store
@@ -22,7 +23,8 @@
     names = files.names()
     data = {name: files.read(name) for name in names if segment_number(name) is not None}
     index = files.read(INDEX) if INDEX in names else None
-    return recover(data, index, time.time() * 1000 if now is None else now)
+    wall = time.time() * 1000 if now is None else now
+    return recover(data, index, wall, reading=Reading.take() if now is None else None)
 
 
 def check(folder: Path) -> Iterator[str]:
@@ -98,7 +100,7 @@
 def repair(folder: Path) -> str:
     """All that can be had, in a new segment; the old ones are moved aside. InUse, StoreError, OSError."""
     before = [name for name in Folder(folder).names() if segment_number(name) is not None]
-    store = Store(Folder(folder), LARGE, time.time() * 1000)
+    store = Store(Folder(folder), LARGE, time.time() * 1000, reading=Reading.take())
     aside = folder.with_name(f"{folder.name}.damaged-{int(time.time())}")
     try:
         store.release()
