After a failed fsync write what counts anew, in place of refusing until a restart

Callers would see, with durability "machine": every request refused and nothing sent after one failed fsync, until a person restarts the process; and answers that never come where no thread could be made for an fsync. Cause: Commit set Store.failed for good. In the loop it was the other way round: an fsync of the sealed segment that failed while a segment began was tried again on the same file, where it may succeed without having written anything. A SEEN record now also ends a message whose own record of that was lost with the fsync, else it came back after a power cut. An fsync without a thread runs in the loop.

--- a/rainpier/store/commit.py
+++ b/rainpier/store/commit.py
@@ -4,9 +4,10 @@
 import logging
 from collections.abc import Callable
 
+from ..observe.events import record
 from .store import Store
 
-log = logging.getLogger(__name__)
+RETRY_PAUSE = 0.02  # s between looks whether the store was written anew
 
 
 class Commit:
@@ -29,23 +30,42 @@
     async def run(self) -> None:
         """While something waits: what comes during one fsync shares the next."""
         try:
-            while self.waiting and not self.store.failed:
+            while self.waiting:
                 some, self.waiting = self.waiting, []
-                handles, gone = self.store.unsynced()
-                try:
-                    await self.loop.run_in_executor(None, self.sync, handles)
-                except OSError as error:
-                    # What a failed fsync leaves on the disk is unknown, and a second one would not tell.
-                    self.store.failed = f"fsync: {error}"
-                    log.critical("store: %s: nothing is taken on or begun any more; start anew", error)
-                    return
-                self.commits += 1
-                self.store.synced(handles, gone)
+                await self.make_durable()
                 for done in some:
                     done()
         finally:
             self.task = None
 
+    async def make_durable(self) -> None:
+        """Returns once all that is written now is on the disk; see Store.rewrite for an fsync that fails."""
+        while self.store.sync_failed or not await self.sync_all():
+            await asyncio.sleep(RETRY_PAUSE)
+            if not self.store.sync_failed:  # it was written anew meanwhile, and synced
+                return
+
+    async def sync_all(self) -> bool:
+        handles, gone = self.store.unsynced()
+        try:
+            await self.beside_the_loop(handles)
+        except OSError as error:
+            self.store.on_sync_failed(error, gone)
+            return False
+        finally:
+            self.store.syncing = False
+        self.commits += 1
+        self.store.synced(handles, gone)
+        return True
+
+    async def beside_the_loop(self, handles: list[int]) -> None:
+        """OSError of a handle that could not be synced."""
+        try:
+            await self.loop.run_in_executor(None, self.sync, handles)
+        except RuntimeError as error:  # no thread can be made: nothing was synced yet
+            record("store", "no_thread", level=logging.WARNING, error=error)
+            self.sync(handles)
+
     def sync(self, handles: list[int]) -> None:
         for handle in handles:
             self.store.files.sync(handle)
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -110,7 +110,10 @@
 
     def on_seen(self, data: bytes, segment: int, seq: int) -> None:
         until, _ = r.SEEN.unpack_from(data)
-        self.remember(data[r.SEEN.size :].decode(), until, segment)
+        name = data[r.SEEN.size :].decode()
+        if (number := self.numbers.get(name)) is not None:  # its own record of that was lost with an fsync
+            self.forget(number)
+        self.remember(name, until, segment)
 
     def on_next(self, data: bytes, segment: int, seq: int) -> None:
         self.next = max(self.next, r.KEY.unpack(data)[0])
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -100,7 +100,8 @@
         self.old: list[int] = []  # handles of sealed segments that are not synced yet
         self.waiting: deque[Waiting] = deque()
         self.broken = self.short = False  # a write failed: the segment's end may be torn; the reserve is used
-        self.failed = ""  # why nothing can be promised any more
+        self.sync_failed = False  # what was written since the last fsync may never be on the disk
+        self.syncing = False  # an fsync of the handles is under way, beside the loop
         self.stuck = False  # no attempt can be recorded, so that none may begin: see probe
         self.probe_at = 0.0
         self.renaming = False  # names wait for room: see copy
@@ -259,8 +260,8 @@
             self.write_all(handle, data)
             if self.machine:
                 self.files.sync(handle)
-                if self.handle >= 0:  # no segment may outlast the end of the one before it
-                    self.files.sync(self.handle)
+                if self.handle >= 0 and not self.sync_failed:
+                    self.sync_sealed()
             self.broken = True  # guards what comes next: from here on the new segment may be there, or not
             self.files.rename(name + FRESH, name)
             if self.machine:
@@ -279,6 +280,14 @@
         self.adopt(records, segment)
         self.write_index()
 
+    def sync_sealed(self) -> None:
+        """No segment may outlast the end of the one before it. OSError."""
+        try:
+            self.files.sync(self.handle)
+        except OSError as error:
+            self.on_sync_failed(error)
+            raise
+
     def seal(self, handle: int) -> None:
         if self.handle >= 0:
             if self.machine:
@@ -423,13 +432,13 @@
 
     def put(self, records: list[tuple[int, bytes]]) -> bool:
         """Records that may be refused: never ahead of ones that wait."""
-        if self.waiting or self.failed:
+        if self.waiting or self.sync_failed:
             return False
         return self.write(records)
 
     def must(self, records: list[tuple[int, bytes]], done: Callable[[], None] | None = None) -> None:
         """Records that can't be refused: the state has them already, what builds on them waits."""
-        if self.waiting or not self.write_must(records):
+        if self.waiting or self.sync_failed or not self.write_must(records):
             last = self.waiting[-1] if self.waiting else None
             if last is not None and last.done is done is None and len(last.records) < MOST_WAITING:
                 last.records += records
@@ -455,7 +464,7 @@
 
     def retry(self) -> None:
         """Write what waits for room, in its order."""
-        while self.waiting and not self.failed:
+        while self.waiting and not self.sync_failed:
             first = self.waiting[0]
             if not self.write_must(first.records):
                 return
@@ -543,7 +552,7 @@
 
     def room(self, body: bytes) -> bool:
         """Whether one more message can be taken on, with room for all that will be told of it."""
-        if self.waiting or self.failed or self.short:
+        if self.waiting or self.sync_failed or self.short:
             return False
         ended = len(self.state.ended) * ENDED
         return self.live + ended + self.need(len(body) + 256) <= LIVE_SHARE * self.disk
@@ -645,6 +654,8 @@
     def tidy(self, now: float) -> None:
         """A round's share of compaction: bounded in bytes and time."""
         self.state.latest = max(self.state.latest, now)
+        if self.sync_failed and not self.rewrite(now):
+            return
         if self.waiting:
             self.retry()
         if self.stuck:
@@ -657,6 +668,8 @@
         self.since_step = 0
 
     def compact(self, now: float, budget: int) -> None:
+        if self.sync_failed:
+            return
         until, start = time.perf_counter() + STEP_TIME, self.seq
         while len(self.segments) > 1 and budget > 0:
             victim = self.segments[0]
@@ -730,10 +743,12 @@
     def unsynced(self) -> tuple[list[int], list[Segment]]:
         """Handles whose data has to be on the disk, and what may go once it is."""
         gone, self.unlinks = self.unlinks, []
+        self.syncing = True
         return [*self.old, *([self.handle] if self.handle >= 0 else [])], gone
 
     def synced(self, handles: list[int], gone: list[Segment]) -> None:
         """These are on the disk."""
+        self.syncing = False
         for handle in self.old[: len(handles) - 1]:
             self.files.close(handle)
         self.old = self.old[len(handles) - 1 :]
@@ -742,6 +757,42 @@
                 self.unlinks = gone[n:] + self.unlinks  # in their order: see retire
                 return
 
+    # --- after an fsync that failed ---
+
+    def on_sync_failed(self, error: Exception, gone: Iterable[Segment] = ()) -> None:
+        """Nothing is promised or begun until all that counts is written anew; see rewrite.
+
+        What a failed fsync leaves on the disk is unknown, and a second one of the same file may succeed
+        without writing it. `gone`: segments that would have been removed behind it.
+        """
+        self.unlinks = [*gone, *self.unlinks]
+        if not self.sync_failed:
+            record("store", "sync_failed", level=logging.ERROR, error=error)
+        self.sync_failed = True
+
+    def rewrite(self, now: float) -> bool:
+        """Write all that counts to a new segment; False: not yet. Tried every PROBE seconds."""
+        if self.syncing or (clock := time.monotonic()) < self.probe_at:
+            return False
+        self.probe_at = clock + PROBE
+        try:
+            self.roll(now, whole=True)
+        except OSError as error:
+            self.complain(error)
+            if error.errno in NO_ROOM and self.reserved:
+                self.release()
+            return False
+        self.sync_failed = self.renaming = False
+        for handle in self.old:
+            self.files.close(handle)
+        self.old = []
+        waited, self.waiting = self.waiting, deque()  # part of the state, and so of the new segment
+        record("store", "rewritten", level=logging.WARNING, messages=len(self.state.entries))
+        for one in waited:
+            if one.done is not None:
+                self.sure(one.done)
+        return True
+
     def drop(self, segment: Segment) -> None:
         self.segments.remove(segment)
         self.total -= blocks(segment.size)
--- a/tests/store/test_crashes.py
+++ b/tests/store/test_crashes.py
@@ -312,3 +312,70 @@
     number = play.bodies[name][3]
     entry = play.store.entries.get(number)
     return entry is None or not (entry.begun or entry.risky_at)
+
+
+class Unsynced(Committed):
+    """As Commit does it where an fsync fails: nothing is called back until the store is written anew."""
+
+    def commit(self):
+        store, (some, self.later[:]) = self.store, (list(self.later), [])
+        if not store.sync_failed:
+            handles, gone = store.unsynced()
+            try:
+                for handle in handles:
+                    self.disk.sync(handle)
+            except OSError as error:
+                store.syncing = False
+                store.on_sync_failed(error, gone)
+            else:
+                store.synced(handles, gone)
+        store.probe_at = 0.0
+        if store.sync_failed and not store.rewrite(self.now):
+            self.later[:0] = some
+            return
+        for done in some:
+            done()
+
+
+@pytest.mark.parametrize("most", [1, 3])
+def test_after_a_failed_fsync_a_power_cut_keeps_what_was_promised(most):
+    """Guards against a failed fsync that is taken for success when the next one of the same file succeeds."""
+    whole = Unsynced(Disk(), 4)
+    for n in range(60):
+        whole.step()
+        if n % 3 == 2:
+            whole.commit()
+    syncs = [n for n, name in enumerate(whole.disk.log, 1) if name in ("sync", "sync_folder") and n > 12]
+    assert len(syncs) > 20
+    for first in syncs:
+        disk = Disk()
+        play = Unsynced(disk, 4)
+        failing = set(range(first, first + 60)) if most > 1 else {first}
+        left = most
+
+        def step(name, *args, disk=disk, real=disk.step, failing=failing):
+            nonlocal left
+            fails = name in ("sync", "sync_folder") and disk.calls + 1 in failing and left > 0
+            left -= fails
+            real(name, *args)
+            return fails
+
+        disk.step = step
+        for n in range(60):
+            play.step()
+            if n % 3 == 2:
+                play.commit()
+        for _ in range(most):
+            play.commit()
+        assert left < most and not play.store.sync_failed, first
+        promised = facts(play.promises)
+        found = recovered(disk.power_cut(), START + 10_000)
+        entries = {entry.id: entry for entry in found.state.entries.values()}
+        for name, kinds in promised.items():
+            if "taken" in kinds and "over" not in kinds:
+                assert name in entries or name in play.store.state.ended, (first, name, kinds)
+                assert name not in entries or entries[name].body == play.bodies[name][0]
+            if "over" in kinds:
+                assert name not in entries, (first, name, kinds)
+            if "begun" in kinds and "over" not in kinds and name in entries and not cleared_later(play, name):
+                assert entries[name].begun or entries[name].risky_at, (first, name)
