Read a configuration again that could not be read, or was half written, at SIGHUP

Callers would see: sends to endpoints that were drained at the new discovery address, of which the sender never heard. Cause: one failed read of the file at SIGHUP (EIO, EMFILE), or a file still being written, kept the old configuration for good: the signal was used up. Evidence: the new test times out before: open() fails with EIO for a second at SIGHUP, and the new address is never asked. Change: what may pass is tried every 50 ms until it is read; what can't be used, for half a second, then it is an error as before. A sidecar's file is asked for again after 0.2 s; without a thread it is checked in the loop.

--- a/rainpier/config/reload.py
+++ b/rainpier/config/reload.py
@@ -6,12 +6,15 @@
 from dataclasses import fields
 
 from ..membership.platform import Discovery
+from ..observe.events import record
 from ..sinks.notices import Notices
-from .platform import Config, ConfigError, load
+from ..startup import LOG_INTERVAL, RETRY_PAUSE
+from .platform import Config, ConfigError, ConfigUnavailable, load
 
 log = logging.getLogger(__name__)
 TAKEN_OVER = ("discovery",)
 OF_A_START = ("seed", "known")  # mean something at a start alone
+HALF_WRITTEN_TIME = 0.5  # s for which a file that can't be used may still be being written
 
 
 class Reload:
@@ -28,15 +31,31 @@
         while True:
             await self.asked.wait()
             self.asked.clear()
-            config = self.apply(config, discovery, notices)
+            new = await self.read()
+            if new is not None:
+                config = self.apply(config, new, discovery, notices)
 
-    def apply(self, old: Config, discovery: Discovery, notices: Notices) -> Config:
+    async def read(self) -> Config | None:
+        """The file's configuration, once it can be read; None where what stands there can't be used."""
+        loop = asyncio.get_running_loop()
+        began, logged = loop.time(), -LOG_INTERVAL
+        while True:
+            try:
+                return load(self.env)
+            except ConfigUnavailable as error:
+                failure = error
+            except ConfigError as error:
+                if loop.time() - began >= HALF_WRITTEN_TIME:
+                    log.error("configuration not taken over, going on with the old one: %s", error)
+                    return None
+                failure = error
+            if loop.time() - logged >= LOG_INTERVAL:
+                logged = loop.time()
+                record("reload_delayed", level=logging.WARNING, error=failure)
+            await asyncio.sleep(RETRY_PAUSE)
+
+    def apply(self, old: Config, new: Config, discovery: Discovery, notices: Notices) -> Config:
         """The configuration that is in force from now on."""
-        try:
-            new = load(self.env)
-        except ConfigError as error:
-            log.error("configuration not taken over, going on with the old one: %s", error)
-            return old
         differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
         later = [name for name in differ if name not in TAKEN_OVER + OF_A_START]
         if later:
--- a/rainpier/config/watch.py
+++ b/rainpier/config/watch.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from ..startup import may_pass
 from . import model as m
 from .change import changes, of_a_start, reordered
 from .check import check_text
@@ -25,7 +26,11 @@
 
 
 class Unreadable(Exception):
-    """The file can't be read at all."""
+    """The file can't be read at all. `may_pass`: it may be readable later."""
+
+    def __init__(self, text: str, may_pass: bool = False) -> None:
+        super().__init__(text)
+        self.may_pass = may_pass
 
 
 def read_text(path: Path) -> str:
@@ -36,7 +41,9 @@
         if len(data) > MAX_FILE:
             raise Unreadable(f"longer than {MAX_FILE} bytes")
         return data.decode("utf-8-sig")
-    except (OSError, ValueError) as error:
+    except OSError as error:
+        raise Unreadable(str(error), may_pass(error)) from error
+    except ValueError as error:
         raise Unreadable(str(error)) from error
 
 
@@ -102,8 +109,10 @@
     async def load(self) -> Outcome:
         try:
             # In a thread: a file of thousands of destinations takes seconds to check, and messages go on.
-            loaded = await asyncio.to_thread(lambda: check_text(read_text(self.path), str(self.path)))
+            loaded = await self.read()
         except Unreadable as error:
+            if error.may_pass:
+                asyncio.get_running_loop().call_later(LOOK, self.ask)
             self.last = Outcome(time.time(), "rejected", [f"{self.path}: {error}"])
         else:
             self.last = self.judge(loaded)
@@ -115,6 +124,17 @@
         log.info("configuration read again: %s", self.last.result)
         return self.last
 
+    async def read(self) -> Loaded:
+        """The file, checked. Unreadable."""
+        try:
+            return await asyncio.to_thread(self.check)
+        except RuntimeError as error:
+            log.warning("%s: the file is checked in the loop", error)  # no thread can be made
+            return self.check()
+
+    def check(self) -> Loaded:
+        return check_text(read_text(self.path), str(self.path))
+
     def judge(self, loaded: Loaded) -> Outcome:
         now, wrong = time.time(), errors(loaded.problems)
         if wrong:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,7 +5,9 @@
 import signal
 
 import pytest
-from peers import PATIENCE, Agent, Client, HttpPeer, command, drive, host, put
+from peers import PATIENCE, SETTINGS, Agent, Client, HttpPeer, command, drive, host, put, until
+from standins.faults.sender import Sender
+from standins.faults.shim import Rule, build
 from test_process import Process, call_id
 
 
@@ -80,3 +82,34 @@
                 assert await asyncio.wait_for(sender.process.wait(), PATIENCE) == 0
 
     drive(story())
+
+
+def test_a_file_that_cannot_be_read_for_a_moment_or_is_half_written_is_taken_over_then(tmp_path, tmp_path_factory):
+    """Guards against a move of discovery that is forgotten, so that drains are missed, because one read failed."""
+
+    async def story():
+        library, loop = build(tmp_path_factory.mktemp("shim")), asyncio.get_running_loop()
+        async with Agent([host("r1", "127.0.0.1:1")]) as old, Agent([host("r1", "127.0.0.1:1")]) as new:
+            sender = Sender("n0", tmp_path, old, library, SETTINGS, began=loop.time())
+            sender.rules = [Rule("open", "EIO", 2000, 3000)]
+            await sender.start()
+            try:
+                assert await sender.until_ready(2)
+                path = tmp_path / "config.json"
+                good = path.read_text()
+                await asyncio.sleep(sender.began + 2.2 - loop.time())
+                path.write_text(good.replace(old.dial, new.dial))
+                sender.signal(signal.SIGHUP)
+                await until(lambda: new.asked)
+                assert loop.time() - sender.began < 4 and sender.told_of("fault: open")
+                path.write_text(good[: len(good) // 2])
+                sender.signal(signal.SIGHUP)
+                before = len(old.asked)
+                await asyncio.sleep(0.2)
+                path.write_text(good)
+                await until(lambda: len(old.asked) > before)
+                assert not sender.told_of("not taken over")
+            finally:
+                await sender.kill()
+
+    drive(story())
