Pace the loop while a socket that is ready can't be read or written for want of memory

Callers would see: late answers from a process that uses a whole core while recv() fails with ENOMEM. Cause: with level-triggered readiness the loop makes the failing call again at once. Change: after such a call the next select comes 5 ms later. EINTR strikes at most every second call: Linux returns it for a signal, not for seconds on end, and Python repeats the call itself.

--- a/rainpier/selector.py
+++ b/rainpier/selector.py
@@ -7,13 +7,34 @@
 
 import errno
 import selectors
+import time
 from collections import ChainMap
 from collections.abc import Mapping
 
 TRANSIENT = frozenset((errno.ENOMEM, errno.ENOSPC))
+SHORTAGE_PAUSE = 0.005  # s: short beside any time limit, and long beside a turn of the loop
 RETRY_INTERVAL = 0.02  # s that a select waits at most while a descriptor is not watched yet
 
 
+class Pacing:
+    """Keeps the loop from spinning on calls that fail at once and are made again at once."""
+
+    def __init__(self) -> None:
+        self.due = False
+
+    def slow_down(self) -> None:
+        """The next select comes SHORTAGE_PAUSE later."""
+        self.due = True
+
+    def pause(self) -> None:
+        if self.due:
+            self.due = False
+            time.sleep(SHORTAGE_PAUSE)
+
+
+PACING = Pacing()  # of the process's one event loop
+
+
 class RetryingSelector(selectors.BaseSelector):
     """`inner`: the selector that does the work; the platform's best one by default."""
 
@@ -47,6 +68,7 @@
         return self.inner.modify(fileobj, events, data)
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        PACING.pause()
         if self.unwatched:
             self.watch()
         if self.unwatched:
--- a/rainpier/sockets.py
+++ b/rainpier/sockets.py
@@ -9,6 +9,8 @@
 import socket
 from contextlib import suppress
 
+from .selector import PACING
+
 TRANSIENT = frozenset((errno.ENOMEM, errno.ENOBUFS))
 OPTION_TRIES = 3
 
@@ -21,7 +23,7 @@
             return super().recv(*args)
         except OSError as error:
             if error.errno in TRANSIENT:
-                raise BlockingIOError(errno.EAGAIN, str(error)) from error
+                raise would_block(error) from error
             raise
 
     def recv_into(self, *args: object) -> int:
@@ -29,7 +31,7 @@
             return super().recv_into(*args)
         except OSError as error:
             if error.errno in TRANSIENT:
-                raise BlockingIOError(errno.EAGAIN, str(error)) from error
+                raise would_block(error) from error
             raise
 
     def send(self, *args: object) -> int:
@@ -37,7 +39,7 @@
             return super().send(*args)
         except OSError as error:
             if error.errno in TRANSIENT:
-                raise BlockingIOError(errno.EAGAIN, str(error)) from error
+                raise would_block(error) from error
             raise
 
     def setsockopt(self, *args: object) -> None:
@@ -54,6 +56,12 @@
         return PatientSocket(self.family, self.type, self.proto, fileno=peer.detach()), address
 
 
+def would_block(error: OSError) -> BlockingIOError:
+    """To be raised in place of a shortage of memory, which the loop then waits out."""
+    PACING.slow_down()
+    return BlockingIOError(errno.EAGAIN, str(error))
+
+
 def stream_socket(host: str) -> PatientSocket:
     """An unconnected socket that never blocks. OSError, with nothing left open."""
     sock = PatientSocket(family(host), socket.SOCK_STREAM)
--- a/tests/standins/faults/sender.py
+++ b/tests/standins/faults/sender.py
@@ -146,5 +146,10 @@
         if self.reading is not None:
             await self.reading
 
+    def processor_time(self) -> float:
+        """s that the process has used so far."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def told_of(self, text: str) -> bool:
         return re.search(text.encode(), self.log) is not None
