Cut no end in two, and tell none twice, where a failed write can't be taken back

Operators would see: a line of the file of ends that can't be read, the next end glued to it, or one end twice. Cause: where the write of a batch fails midway and the truncation behind it fails too, the file kept the part, and the sink neither ended its torn line nor knew of the whole lines in it. Evidence: the new test fails before. Change: the sink remembers that a part may stand there; it ends the line and looks the batch's ids up before it writes them again. Result: tests/test_sink.py passes.

--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -38,6 +38,7 @@
         super().__init__()
         self.path, self.rotate_at, self.keep = path, rotate_at, keep
         self.file, self.torn, self.warned = -1, False, -LOGGED
+        self.unsure = False  # a part of a batch may stand in the file
         self.known: set[str] = set()  # ids told by an earlier process, until they are added again
 
     # --- the file ---
@@ -111,9 +112,12 @@
 
     async def tell(self, batch: list[Entry]) -> bool:
         now = time.time()
-        fresh = [entry for entry in batch if entry.id not in self.known]
         try:
             self.look()
+            if self.unsure:  # whole lines of what failed before may stand there
+                self.known |= self.found(self.path, {entry.id for entry in batch})
+                self.unsure = False
+            fresh = [entry for entry in batch if entry.id not in self.known]
             self.write(b"".join(line(entry, now) for entry in fresh))
         except OSError as error:
             if time.monotonic() - self.warned > LOGGED:
@@ -128,12 +132,14 @@
         """All or nothing: what was written of a batch that did not fit is taken back."""
         if not data:
             return
-        size = os.fstat(self.file).st_size
-        data = b"\n" * self.torn + data
+        size, torn = os.fstat(self.file).st_size, self.torn
+        data = b"\n" * torn + data
         try:
             while data:
                 data = data[os.write(self.file, data) :]
         except OSError:
+            self.torn = self.unsure = True  # until the part that was written is taken back
             os.ftruncate(self.file, size)
+            self.torn, self.unsure = torn, False
             raise
         self.torn = False
--- a/tests/test_sink.py
+++ b/tests/test_sink.py
@@ -134,3 +134,34 @@
         assert [row["message"] for row in lines(sink.path)] == ["m2", "m1"]
 
     story(tmp_path, work, owed=["m1", "m2"])
+
+
+def test_part_of_a_batch_that_cannot_be_taken_back_spoils_no_line_and_is_not_told_twice(tmp_path, monkeypatch):
+    """Guards against ends on a torn line, and twice in the file, where a write and the cut behind it both fail."""
+    real, left = os.write, [1]
+
+    def write(handle, data):
+        if left[0] and data.startswith(b'{"message"'):
+            left[0] -= 1
+            return real(handle, data[: len(data) * 2 // 3])
+        if left == [0]:
+            left[0] = -1
+            raise OSError(errno.EIO, "injected")
+        return real(handle, data)
+
+    def truncate(handle, size):
+        monkeypatch.undo()
+        raise OSError(errno.EIO, "injected")
+
+    async def work(sink, told):
+        sink.add(entry(0))
+        await until(lambda: told)
+        monkeypatch.setattr(os, "write", write)
+        monkeypatch.setattr(os, "ftruncate", truncate)
+        for n in range(1, 4):
+            sink.add(entry(n))
+        await until(lambda: len(told) == 4)
+        whole = [json.loads(row)["message"] for row in sink.path.read_text().splitlines() if row.endswith("}")]
+        assert sorted(whole) == ["m0", "m1", "m2", "m3"]
+
+    story(tmp_path, work)
