Wait for open calls when told to end before the listener is up

Callers would see: charges given up as maybe run, whose call was cut off by a SIGTERM during a delayed start. Cause: the way out of a start that is not done closed the node at once; messages of an earlier process are sent before the listener is up, and listening may now take a while. Evidence: the new test fails before (exit with the call open). Change: the same orderly end as later, finish(), without listeners. Result: tests/faults/test_start.py passes.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -52,7 +52,7 @@
     try:
         await attempt("listen", lambda: clients.listen(config.listen), stop)
     except Stopped:
-        node.close()
+        await finish(node, [], loop.time())
         raise
     log.info("%s serves on %s:%d", config.name, config.listen[0], clients.port)
     record("process", "serving", pid=os.getpid(), name=config.name, held=len(node.store.entries))
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -72,7 +72,7 @@
         except Stopped as step:
             log.info("told to end before it was ready: %s", step)
             if self.node is not None:
-                self.node.close()
+                await finish(self.node, [], loop.time())
 
     @staticmethod
     def hold_descriptors(most: int) -> None:
--- a/tests/faults/test_start.py
+++ b/tests/faults/test_start.py
@@ -80,3 +80,30 @@
             assert sender.life.status == 0, sender.log.decode()
 
     drive(story())
+
+
+def test_process_told_to_end_before_it_listens_waits_for_its_open_calls(tmp_path, library):
+    """Guards against a charge whose call is cut off, so that it counts as one that may have run."""
+
+    async def story():
+        loop, answer = asyncio.get_running_loop(), asyncio.get_running_loop().create_future()
+        async with HttpPeer(lambda request, body: answer) as receiver, Agent() as agent:
+            agent.hosts = [host("r1", receiver.dial, health="DRAINING")]
+            sender = Sender("n0", tmp_path, agent, library, SETTINGS)
+            await sender.start()
+            assert await sender.until_ready(PATIENCE)
+            async with Client(sender.port) as client:
+                assert await client.ask(put("charge", cls="unsafe")) == "OK"
+            await sender.kill()
+            agent.hosts = [host("r1", receiver.dial)]
+            sender.rules, sender.began = [Rule("bind", "ENOBUFS", 0)], loop.time()
+            await sender.start()
+            await receiver.next()
+            sender.signal(signal.SIGTERM)
+            await asyncio.sleep(0.5)
+            assert sender.alive
+            answer.set_result((200, [], b""))
+            await asyncio.wait_for(sender.reading, PATIENCE)
+            assert sender.life.status == 0 and sender.told_of("stopped: 0 messages stay"), sender.log.decode()
+
+    drive(story())
