Answer BUSY, not failed, for a destination that the first list may still name

Callers saw: messages answered as failed for good while discovery could not be reached at a start with an empty list. Cause: a destination without a listed endpoint was taken for an unknown one also before the whole list had come to the process. Change: until the list has come once such a message is answered BUSY.

--- a/rainpier/node/intake.py
+++ b/rainpier/node/intake.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from .. import interface as i
@@ -32,7 +32,9 @@
 
 
 class Intake:
-    def __init__(self, core: Core, ends: Ends, hosts: Hosts) -> None:
+    def __init__(self, core: Core, ends: Ends, hosts: Hosts, listed: Callable[[], bool]) -> None:
+        """`listed`: whether the whole list of endpoints has come to this process."""
+        self.listed = listed
         self.core, self.store, self.ends, self.hosts = core, core.store, ends, hosts
         self.offers: dict[int, Offer] = {}  # by number, until the next round
         self.names: dict[str, Offer] = {}  # the same by id
@@ -49,6 +51,9 @@
             known = self.store.entries.get(self.store.state.numbers.get(handed.id, 0))
             self.ends.redirect(known, handed)
             return Known(owed=known is not None and not known.told)
+        if not self.hosts.serves(handed.destination):  # it may be in the list that has not come yet
+            self.refused(handed.id, handed.cls, handed.destination, "not_listed_yet")
+            return Busy(DOOR_WAIT)
         full = self.held >= self.core.s.max_open
         if full or not self.store.room(handed.body):
             reason = "too_many_held" if full else "no_store_room"
@@ -63,7 +68,7 @@
             return f"unknown class {handed.cls}"
         if handed.tenant and core.tenants and handed.tenant not in core.tenants:
             return f"unknown tenant {handed.tenant}"
-        if not self.hosts.serves(dest):
+        if not self.hosts.serves(dest) and self.listed():
             return f"unknown destination {dest}"
         if len(handed.body) > core.config.largest_body:
             return f"body longer than {core.config.largest_body} bytes"
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -55,7 +55,7 @@
         self.ends = Ends(self.core, sink, out)
         self.calls = Calls(self.core, self.ends, out)
         self.hosts = Hosts(self.core, self.calls.receivers, self.calls.waits)
-        self.intake = Intake(self.core, self.ends, self.hosts)
+        self.intake = Intake(self.core, self.ends, self.hosts, source.whole.is_set)
         self.put = self.intake.put
         self.task: asyncio.Task | None = None
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -472,3 +472,28 @@
                 assert node.source.seq is not None
 
     drive(story())
+
+
+def test_a_destination_that_is_not_listed_yet_is_busy_and_unknown_only_once_the_list_has_come(tmp_path):
+    """Guards against messages answered as failed because discovery could not be reached at a start."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
+            agent.silent = True
+            node = node_of(config(tmp_path, agent))
+            await node.start()
+            clients = Clients(node.put, 10)
+            await clients.listen(("127.0.0.1", 0))
+            async with Client(clients.port) as client:
+                assert (await client.ask(put("early"))).startswith("-BUSY")
+                assert (await client.ask(put("odd", cls="none"))).startswith("-ERR unknown class")
+                agent.hosts, agent.silent = [host("r1", receiver.dial)], False
+                for writer in list(agent.writers):
+                    writer.transport.abort()
+                await until(lambda: node.hosts.serves(3))
+                assert await client.ask(put("again")) == "OK"
+                assert (await client.ask(put("nowhere", dest=9))).startswith("-ERR unknown destination")
+            await clients.close(within=0.2)
+            node.close()
+
+    drive(story())
