--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 test: .venv/ready
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/python -m pytest -q
 
 reference: .venv/ready
--- a/benchmarks/record_cost.py
+++ b/benchmarks/record_cost.py
@@ -1,6 +1,6 @@
 """What recording costs: the same rounds through a plain sender and a recorded one, in turn, in one run.
 
-    python benchmarks/record_cost.py [MESSAGES]
+python benchmarks/record_cost.py [MESSAGES]
 """
 
 import statistics
--- a/rainpier/attempt/explore.py
+++ b/rainpier/attempt/explore.py
@@ -173,8 +173,10 @@
         message, effect = w.messages[m], self.size.effects[m]
         if final == REFUSED and not self.rules.harmless(effect, message.risky, message.window, True):
             final = FAILED
-        if final == REFUSED and self.may_run(w, m) and (
-            effect is Effect.UNSAFE or effect is Effect.KEYED and not message.window
+        if (
+            final == REFUSED
+            and self.may_run(w, m)
+            and (effect is Effect.UNSAFE or effect is Effect.KEYED and not message.window)
         ):
             raise Broken("refusal")
         return self.put(self.answer(w, m, final), m, phase=ENDED, ended="end" in self.records)
--- a/rainpier/attempt/mutants.py
+++ b/rainpier/attempt/mutants.py
@@ -9,6 +9,8 @@
 from .table import TABLE, Event, State, Step
 
 CERTAIN, DOUBTFUL = Outcome.CONNECT_FAILED, Outcome.RESET  # proof that it never ran; none
+
+
 @dataclass(frozen=True, slots=True)
 class Mutant:
     name: str
--- a/rainpier/cli/main.py
+++ b/rainpier/cli/main.py
@@ -393,9 +393,7 @@
         Address(numeric=True).read(endpoint)
     if any(brokers) and not all(brokers):
         raise Wrong("E302", f"{name!r} has brokers and others", "make two destinations of it")
-    return write.NewDestination(
-        name, int(number), endpoints, read_rate(rate) if rate else 50.0, any(brokers)
-    )
+    return write.NewDestination(name, int(number), endpoints, read_rate(rate) if rate else 50.0, any(brokers))
 
 
 def questions(new: write.New) -> None:
--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -278,7 +278,8 @@
     password: str = setting(t.Text("text", r"[!-~]{1,256}"), "amqp: the user's password.", "guest")
     exchange: str = setting(
         t.Text("text of at most 100 characters", r"[ -~]{1,100}", empty=True),
-        "amqp: exchange to publish to; empty: the default exchange.", ""
+        "amqp: exchange to publish to; empty: the default exchange.",
+        "",
     )
     routing_key: str = setting(
         SHORT, "amqp: routing key; {class}, {destination} and {key} are filled in.", "{destination}"
--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -366,7 +366,17 @@
 
 
 Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Forget | OutageChange | TellPeer | Log
-    | WatchList | ReadList
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Forget
+    | OutageChange
+    | TellPeer
+    | Log
+    | WatchList
+    | ReadList
 )
-
--- a/rainpier/node/hosts.py
+++ b/rainpier/node/hosts.py
@@ -33,9 +33,7 @@
         self.remembered = (dict(known.waits), dict(known.outages))
 
     def serves(self, destination: int) -> bool:
-        return destination in self.destinations and (
-            not self.configured or destination in self.configured
-        )
+        return destination in self.destinations and (not self.configured or destination in self.configured)
 
     def gone(self, name: str) -> Host:
         """What the list says of a known receiver that it lacks."""
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -86,7 +86,6 @@
         bad = self.fails + max(0, self.fulls - 1)  # one alone may be anybody's excess
         return 0 if due else bad, self.flight, not (due and bad)
 
-
     def clean(self, now: float, keep_alive: float) -> bool:
         """Nothing is known of it that a new one would not be taken to be."""
         known = self.flight or self.fails or self.fulls
--- a/tests/attempt/test_mended.py
+++ b/tests/attempt/test_mended.py
@@ -112,7 +112,9 @@
                     actions = handle(now, events)
                     fails = [a for a in actions if isinstance(a, i.Fail)]
                     wrong.extend(fails)
-                    bad = [i.Send(a.message, 1, 1000.0) for a in fails] + [i.Refuse(a.message, 5.0) for a in fails]
+                    bad = [i.Send(a.message, 1, 1000.0) for a in fails] + [
+                        i.Refuse(a.message, 5.0) for a in fails
+                    ]
                     return [a for a in actions if a not in fails] + bad
 
                 node.sender.handle = decide
@@ -127,7 +129,9 @@
 
 def test_the_platforms_sender_loads_the_tables_and_not_their_explorer():
     code = "import sys, rainpier.__main__ as m; print(*(n for n in sys.modules if n.startswith('rainpier.attempt.')))"
-    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
     assert sorted(loaded) == ["rainpier.attempt.rules", "rainpier.attempt.table"]
 
 
--- a/tests/config/test_broken.py
+++ b/tests/config/test_broken.py
@@ -203,7 +203,9 @@
 
 
 def test_a_mark_stands_under_its_place_behind_wide_characters():
-    text = GOOD.replace('key = "video"', 'key = "vidéo", x = 1').replace("[class.charge]", '"é" = 1\n[class.charge]')
+    text = GOOD.replace('key = "video"', 'key = "vidéo", x = 1').replace(
+        "[class.charge]", '"é" = 1\n[class.charge]'
+    )
     for problem in check_text(text, "a.toml").problems:
         assert problem.place.column <= len(problem.line) + 1
 
@@ -213,8 +215,26 @@
     assert [code for _, code in told(text)] == ["E209", "E308"]
 
 
-@pytest.mark.parametrize("junk", ["", "\x00", "[", "]]", "= = =", "a" * 5000, "[[[[" * 200, '"', "'''", "{}", "\ufeff", "x = " + "[" * 500 + "]" * 500,
-                                  "version = 1\n[class]\nx = 1\n[class.x]\n", "[a]\n[a.b]\n[a]\n", "a.b.c = 1\na.b = 2\n"])
+@pytest.mark.parametrize(
+    "junk",
+    [
+        "",
+        "\x00",
+        "[",
+        "]]",
+        "= = =",
+        "a" * 5000,
+        "[[[[" * 200,
+        '"',
+        "'''",
+        "{}",
+        "\ufeff",
+        "x = " + "[" * 500 + "]" * 500,
+        "version = 1\n[class]\nx = 1\n[class.x]\n",
+        "[a]\n[a.b]\n[a]\n",
+        "a.b.c = 1\na.b = 2\n",
+    ],
+)
 def test_junk_is_refused_and_never_a_traceback(junk):
     assert told(junk)
 
--- a/tests/config/test_many.py
+++ b/tests/config/test_many.py
@@ -67,6 +67,10 @@
 
 def test_a_contradiction_of_many_files_is_told_at_each_later_one():
     third = OTHER.replace("store", "third").replace("6380", "6381").replace("senders = 2", "senders = 2")
-    texts = [("a.toml", GOOD), ("b.toml", OTHER.replace('"50/s"', '"60/s"')), ("c.toml", third.replace('"50/s"', '"70/s"'))]
+    texts = [
+        ("a.toml", GOOD),
+        ("b.toml", OTHER.replace('"50/s"', '"60/s"')),
+        ("c.toml", third.replace('"50/s"', '"70/s"')),
+    ]
     files = check_files(texts)
     assert [{p.code for p in errors(f.problems)} for f in files] == [set(), {"E704"}, {"E704", "E707"}]
--- a/tests/config/test_write.py
+++ b/tests/config/test_write.py
@@ -18,7 +18,9 @@
 from .files import FULL, GOOD
 
 ROOT = Path(__file__).parents[2]
-NAMES = st.text(string.ascii_lowercase + string.digits + "-_", min_size=1, max_size=12).map(lambda text: "a" + text)
+NAMES = st.text(string.ascii_lowercase + string.digits + "-_", min_size=1, max_size=12).map(
+    lambda text: "a" + text
+)
 TIMES = st.floats(1, 3_600_000).map(round).map(float)
 
 
@@ -26,7 +28,9 @@
     classes = st.builds(write.NewClass, NAMES, st.sampled_from(list(write.EFFECTS)), TIMES, TIMES,
                         st.sampled_from(["", "video", 'a "quoted" key']))  # fmt: skip
     ports = st.lists(st.integers(1, 65535), min_size=1, max_size=4, unique=True)
-    destinations = st.lists(st.tuples(NAMES, ports, st.floats(0.01, 10_000)), min_size=1, max_size=4, unique_by=lambda d: d[0])
+    destinations = st.lists(
+        st.tuples(NAMES, ports, st.floats(0.01, 10_000)), min_size=1, max_size=4, unique_by=lambda d: d[0]
+    )
     return st.builds(
         lambda name, cs, ds, body, memory, disk, sockets, sink: write.New(
             name, "127.0.0.1:0", cs,
@@ -44,7 +48,9 @@
     loaded = check_text(write.init(new), "new.toml")
     assert [str(p) for p in errors(loaded.problems)] == []
     config = place.place(loaded.model, 1)
-    assert len(config.settings.classes) == len(new.classes) and config.settings.slots <= config.settings.max_open
+    assert (
+        len(config.settings.classes) == len(new.classes) and config.settings.slots <= config.settings.max_open
+    )
     assert {n: d.number for n, d in loaded.model.destinations.items()} == config.destinations
 
 
@@ -55,35 +61,55 @@
     assert "slots = 32                                   # good.toml:16" in FULL
     assert "attempts = 12                                # default" in FULL
     assert "correct-horse" not in write.show(first)
-    given = {name for kind in (*m.SECTIONS.values(), m.Class, m.Kind, m.Destination) for name, _, _ in m.settings_of(kind)}
+    given = {
+        name
+        for kind in (*m.SECTIONS.values(), m.Class, m.Kind, m.Destination)
+        for name, _, _ in m.settings_of(kind)
+    }
     assert not {name for name in given if f"\n{name} = " not in FULL and f"\n# {name} is" not in FULL}
 
 
 def test_the_reference_page_is_what_the_model_says():
     page = ROOT / "docs/reference/configuration.md"
-    assert page.read_text() == write.reference(), "write it anew: rainpier reference > docs/reference/configuration.md"
+    assert (
+        page.read_text() == write.reference()
+    ), "write it anew: rainpier reference > docs/reference/configuration.md"
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(st.floats(0, 1e9, allow_nan=False).map(lambda v: round(v, 3)), st.integers(0, 2**41), st.floats(1e-6, 1e6))
+@given(
+    st.floats(0, 1e9, allow_nan=False).map(lambda v: round(v, 3)), st.integers(0, 2**41), st.floats(1e-6, 1e6)
+)
 def test_quantities_read_back_as_they_were(time, size, rate):
     assert units.read_duration(units.write_duration(time)) == time
     assert units.read_size(units.write_size(size)) == size
     assert units.read_rate(units.write_rate(rate)) == pytest.approx(rate, rel=1e-9)
 
 
-SCALARS = st.one_of(st.integers(-(2**63), 2**63 - 1), st.booleans(), st.text(max_size=20), st.floats(-1e9, 1e9))
+SCALARS = st.one_of(
+    st.integers(-(2**63), 2**63 - 1), st.booleans(), st.text(max_size=20), st.floats(-1e9, 1e9)
+)
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(st.dictionaries(st.text(min_size=1, max_size=6), st.one_of(SCALARS, st.lists(SCALARS, max_size=4)), max_size=6))
+@given(
+    st.dictionaries(
+        st.text(min_size=1, max_size=6), st.one_of(SCALARS, st.lists(SCALARS, max_size=4)), max_size=6
+    )
+)
 def test_reading_with_places_gives_what_the_standard_library_gives(table):
     from rainpier.config.types import quoted
 
     def written(value):
         if isinstance(value, list):
             return "[" + ", ".join(map(written, value)) + "]"
-        return quoted(value) if isinstance(value, str) else str(value).lower() if isinstance(value, bool) else repr(value)
+        return (
+            quoted(value)
+            if isinstance(value, str)
+            else str(value).lower()
+            if isinstance(value, bool)
+            else repr(value)
+        )
 
     text = "".join(f"{quoted(name)} = {written(value)}\n" for name, value in table.items())
     document = read(f"[a]\n{text}[a.b]\nc = 1\n" if "b" not in table else text)
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -16,7 +16,9 @@
     return build(tmp_path_factory.mktemp("shim"))
 
 
-@pytest.mark.parametrize("error", ["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "ENETDOWN"])
+@pytest.mark.parametrize(
+    "error", ["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "ENETDOWN"]
+)
 def test_accept_that_fails_neither_spins_nor_closes_connections_and_goes_on(tmp_path, library, error):
     """Guards against a busy loop, against idle clients thrown out for a shortage of the system's, and against no more accepts."""
 
@@ -33,7 +35,9 @@
                     assert await kept.ask(put("before")) == "OK" and await idle.ask(put("idle")) == "OK"
                     await asyncio.sleep(max(0.0, sender.began + FROM + 0.2 - loop.time()))
                     before = sender.processor_time()
-                    reader, writer = await asyncio.open_connection("127.0.0.1", sender.port)  # waits to be accepted
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", sender.port
+                    )  # waits to be accepted
                     writer.write(put("waits"))
                     for n in range(20):
                         assert await kept.ask(put(f"during-{n}")) == "OK"
--- a/tests/faults/test_clock.py
+++ b/tests/faults/test_clock.py
@@ -39,8 +39,14 @@
     """What went wrong, or "". `step`: between the kill and the start; `running`: others, (s, ms), in the second life."""
     loop = asyncio.get_running_loop()
     hangs, wrong = loop.create_future(), []
-    classes = [cls | ({"repeat-window": WINDOW * 1000} if cls["name"] == "keyed" else {}) for cls in SETTINGS["classes"]]
-    async with HttpPeer(lambda request, body: hangs) as slow, HttpPeer(lambda request, body: (200, [], b"")) as well:
+    classes = [
+        cls | ({"repeat-window": WINDOW * 1000} if cls["name"] == "keyed" else {})
+        for cls in SETTINGS["classes"]
+    ]
+    async with (
+        HttpPeer(lambda request, body: hangs) as slow,
+        HttpPeer(lambda request, body: (200, [], b"")) as well,
+    ):
         async with Agent() as agent:
             hanging = [host("r2", slow.dial, block=4), host("r3", slow.dial, block=5)]
             agent.hosts = [host("r1", well.dial, block=3, health="DRAINING"), *hanging]
@@ -51,8 +57,14 @@
                 sent = loop.time()
                 assert await client.ask(put("untried", d=6000)) == "OK"
                 assert await client.ask(put("ends", d=4000)) == "OK"
-                assert await client.ask(put("keyed-1", cls="keyed", dest=4, d=9000, key="7", more=",k=a")) == "OK"
-                assert await client.ask(put("keyed-2", cls="keyed", dest=5, d=9000, key="8", more=",k=b")) == "OK"
+                assert (
+                    await client.ask(put("keyed-1", cls="keyed", dest=4, d=9000, key="7", more=",k=a"))
+                    == "OK"
+                )
+                assert (
+                    await client.ask(put("keyed-2", cls="keyed", dest=5, d=9000, key="8", more=",k=b"))
+                    == "OK"
+                )
                 first = {call_id(await slow.next()) for _ in range(2)}
                 assert first == {"keyed-1", "keyed-2"}
             await sender.kill()
@@ -84,7 +96,9 @@
     """Guards against deadlines and repeat windows that move with a step of the wall clock over a restart."""
 
     async def story():
-        told = await asyncio.gather(*(across_a_restart(tmp_path / f"{step}", library, step) for step in steps))
+        told = await asyncio.gather(
+            *(across_a_restart(tmp_path / f"{step}", library, step) for step in steps)
+        )
         assert not any(told), "\n".join(filter(None, told))
 
     drive(story())
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -29,5 +29,7 @@
 
         return await asyncio.gather(*(one(plan) for plan in plans))
 
-    broken = [(str(plan), findings, summary) for plan, findings, summary in asyncio.run(all_kinds()) if findings]
+    broken = [
+        (str(plan), findings, summary) for plan, findings, summary in asyncio.run(all_kinds()) if findings
+    ]
     assert not broken, "\n".join(f"{plan}\n  {summary}\n  {findings}" for plan, findings, summary in broken)
--- a/tests/faults/test_start.py
+++ b/tests/faults/test_start.py
@@ -11,7 +11,9 @@
 STORE = ("open", "list", "read", "write", "rename", "lock", "close", "stat")
 SOCKETS = {"socketpair": "ENFILE", "epoll_create": "EMFILE", "epoll_add": "ENOMEM", "socket": "ENFILE",
            "setsockopt": "ENOBUFS", "bind": "EADDRINUSE", "listen": "ENOBUFS"}  # fmt: skip
-CASES = {call: ("EIO", "EINTR", "EMFILE") for call in STORE} | {call: (error,) for call, error in SOCKETS.items()}
+CASES = {call: ("EIO", "EINTR", "EMFILE") for call in STORE} | {
+    call: (error,) for call, error in SOCKETS.items()
+}
 TIMES = (1, 6)  # calls that fail, of one process
 AT_ONCE = 3  # processes
 
@@ -72,7 +74,9 @@
     async def story():
         async with Agent() as agent:
             rules = [Rule(call, "EIO", 0)]
-            sender = Sender("n0", tmp_path, agent, library, SETTINGS, rules, began=asyncio.get_running_loop().time())
+            sender = Sender(
+                "n0", tmp_path, agent, library, SETTINGS, rules, began=asyncio.get_running_loop().time()
+            )
             await sender.start()
             assert not await sender.until_ready(1.5) and sender.alive, sender.log.decode()
             sender.signal(signal.SIGTERM)
--- a/tests/observe/test_ledger.py
+++ b/tests/observe/test_ledger.py
@@ -134,7 +134,9 @@
     assert [accounts[n].end for n in (1, 2, 3)] == [End.IN_TIME, End.LATE, End.FAILED]
     assert accounts[1].lost == 0 and accounts[3].lost == UNSAFE.worth
     assert accounts[2].lost == pytest.approx((1 - SAFE.late_worth) / 2)
-    assert sum(lost for _, _, lost in rig.ledger.losses()) == pytest.approx(accounts[2].lost + accounts[3].lost)
+    assert sum(lost for _, _, lost in rig.ledger.losses()) == pytest.approx(
+        accounts[2].lost + accounts[3].lost
+    )
     assert rig.ledger.by("cls")[2].total() == UNSAFE.worth and rig.now > T0 and ORDERED.in_order
 
 
@@ -167,7 +169,10 @@
         rig.do(i.ListChange(i.ListKind.FULL, (i.Listed(7, 3),)))
         rig.do(*(i.Arrival(n, 0, 3, rig.now + 20000.0) for n in (1, 2)), after=10.0)
         outcome = i.Outcome.FULL if number else i.Outcome.OK
-        rig.do(*(i.Result(n, 0, 7, outcome, 40.0, not number, 300.0 * number, (), True) for n in (1, 2)), after=40.0)
+        rig.do(
+            *(i.Result(n, 0, 7, outcome, 40.0, not number, 300.0 * number, (), True) for n in (1, 2)),
+            after=40.0,
+        )
         rig.do(after=100.0)
     paths = [next((tmp_path / str(number)).iterdir()) for number in range(2)]
     fleet = Fleet()
@@ -180,4 +185,6 @@
     assert {name: total[name] for name in wanted} == wanted and not total["again"]
     assert fleet.reasons[3][blame.TOLD] == 2
     shown = CliRunner().invoke(main, ["ledger", "--fleet", "1", *map(str, paths)])
-    assert shown.exit_code == 0 and "all 2 records together" in shown.output and "100% told wait" in shown.output
+    assert (
+        shown.exit_code == 0 and "all 2 records together" in shown.output and "100% told wait" in shown.output
+    )
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -156,7 +156,11 @@
         if "index" in target:
             await self.news.wait()
             self.news.clear()
-        return 200, [], json.dumps({"seq": self.seq, "whole": "index" not in target, "hosts": self.hosts}).encode()
+        return (
+            200,
+            [],
+            json.dumps({"seq": self.seq, "whole": "index" not in target, "hosts": self.hosts}).encode(),
+        )
 
     def change(self, *hosts):
         self.seq, self.hosts = self.seq + 1, list(hosts)
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -41,7 +41,9 @@
         parts.append(f'[class.{name}]\naim = "2 s"\ndeadline = "{deadline}"\nlate_worth = 0.1\n{lines}\n')
     for name, (number, dials, *rate) in destinations.items():
         listed = ", ".join(dial if dial.startswith("{") else f'"{dial}"' for dial in dials)
-        parts.append(f'[destination.{name}]\nnumber = {number}\nrate = "{rate[0] if rate else "100/s"}"\nendpoints = [{listed}]\n')
+        parts.append(
+            f'[destination.{name}]\nnumber = {number}\nrate = "{rate[0] if rate else "100/s"}"\nendpoints = [{listed}]\n'
+        )
     return "\n".join(parts)
 
 
--- a/tests/standins/deployments.py
+++ b/tests/standins/deployments.py
@@ -88,13 +88,30 @@
         listed = rate * math.exp(rng.gauss(0, 0.35))
         destinations.append(
             Destination(
-                n + 1, limit(rate, low, day != "calm" and rng.random() < 0.6), kind, listed,
-                load * math.exp(rng.gauss(0, 0.25)), 1000.0, rng.random() < 0.4,
-                size=2.0 if kinds[kind].batch > 1 else 1.0, hot=math.ceil(heat / HOT), classes=frozenset({kind}) if own else frozenset(),
+                n + 1,
+                limit(rate, low, day != "calm" and rng.random() < 0.6),
+                kind,
+                listed,
+                load * math.exp(rng.gauss(0, 0.25)),
+                1000.0,
+                rng.random() < 0.4,
+                size=2.0 if kinds[kind].batch > 1 else 1.0,
+                hot=math.ceil(heat / HOT),
+                classes=frozenset({kind}) if own else frozenset(),
             )  # fmt: skip
         )
     return Deployment(
-        seed, day, senders, servers, classes, tuple(w / sum(weights) for w in weights), own, hot, kinds, destinations, low
+        seed,
+        day,
+        senders,
+        servers,
+        classes,
+        tuple(w / sum(weights) for w in weights),
+        own,
+        hot,
+        kinds,
+        destinations,
+        low,
     )
 
 
--- a/tests/standins/faults/__main__.py
+++ b/tests/standins/faults/__main__.py
@@ -26,7 +26,9 @@
 def options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m standins.faults", description=__doc__)
     parser.add_argument("--seeds", type=seeds, default=range(1, 6), metavar="A-B")
-    parser.add_argument("--fault", choices=KINDS, action="append", help="may be given several times; all by default")
+    parser.add_argument(
+        "--fault", choices=KINDS, action="append", help="may be given several times; all by default"
+    )
     parser.add_argument("--jobs", type=int, default=3, help="runs at one time")
     parser.add_argument("--logs", type=Path, help="a folder for the senders' logs of runs that broke a rule")
     return parser.parse_args()
--- a/tests/standins/faults/peers.py
+++ b/tests/standins/faults/peers.py
@@ -24,7 +24,9 @@
 class Receiver(HttpPeer):
     """Answers each call by chance: delivered, an error, refused, told to wait, reset or left without an answer."""
 
-    def __init__(self, name: str, destination: int, records: Records, draw: random.Random, trouble: float) -> None:
+    def __init__(
+        self, name: str, destination: int, records: Records, draw: random.Random, trouble: float
+    ) -> None:
         super().__init__(None)
         self.name, self.destination, self.records, self.draw = name, destination, records, draw
         self.trouble, self.wait_until = trouble, 0.0
@@ -81,7 +83,9 @@
         else:
             self.records.unreadable.append(f"{self.name}: {request.target!r}")
             rows = []
-        return [Call(name, token, text, self.name, self.destination, begun, now) for name, token, text in rows]
+        return [
+            Call(name, token, text, self.name, self.destination, begun, now) for name, token, text in rows
+        ]
 
     def choose(self, now: float) -> str:
         if now < self.wait_until:
@@ -142,7 +146,10 @@
 
 def listed(receivers: list[Receiver]) -> list[dict]:
     kinds = ("single", "bulk")
-    return [host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=50.0) for r in receivers]
+    return [
+        host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=50.0)
+        for r in receivers
+    ]
 
 
 class Client:
@@ -150,7 +157,9 @@
 
     numbers = count(1)
 
-    def __init__(self, sender: Sender, records: Records, draw: random.Random, gap: float, span: tuple) -> None:
+    def __init__(
+        self, sender: Sender, records: Records, draw: random.Random, gap: float, span: tuple
+    ) -> None:
         self.sender, self.records, self.draw, self.gap, self.span = sender, records, draw, gap, span
         self.reader = self.writer = None
         self.parser = hiredis.Reader()
@@ -173,7 +182,9 @@
         key = self.key if cls == "keyed" and draw.random() < 0.7 else 0
         token = f"t{number:x}" if cls == "keyed" else ""
         span = draw.uniform(*self.span)
-        return Message(name, cls, draw.choice([1, 2, 3]), key, token, draw.randbytes(size), span, self.sender.name)
+        return Message(
+            name, cls, draw.choice([1, 2, 3]), key, token, draw.randbytes(size), span, self.sender.name
+        )
 
     async def hand_in(self, message: Message) -> None:
         self.records.messages[message.id] = message
--- a/tests/standins/faults/plan.py
+++ b/tests/standins/faults/plan.py
@@ -94,7 +94,10 @@
         return [storage(call, chance, 0, FOREVER, chance.choice([1, 2, 5])) for call in calls]
     if kind == "torn":
         since = chance.uniform(1000, 4000)
-        return [Rule("write", "kill", since, FOREVER, chance.choice([3, 10]), 1), Rule("write", "short", 0, FOREVER, 30)]
+        return [
+            Rule("write", "kill", since, FOREVER, chance.choice([3, 10]), 1),
+            Rule("write", "short", 0, FOREVER, 30),
+        ]
     if kind == "sockets":
         return [sockets(chance) for _ in range(chance.randint(2, 5))]
     if kind == "clock":
--- a/tests/standins/faults/run.py
+++ b/tests/standins/faults/run.py
@@ -121,7 +121,9 @@
         while loop.time() < until:
             await asyncio.sleep(0.05)
             life = sender.life
-            torn = sender.may_die and life.ended is not None and life.killed == life.ended and life.told is None
+            torn = (
+                sender.may_die and life.ended is not None and life.killed == life.ended and life.told is None
+            )
             if torn and loop.time() > life.ended + START_TIME:
                 await self.start(sender)
 
@@ -134,7 +136,9 @@
     async def settle(self) -> None:
         """Until nothing can be owed any more."""
         loop, verdict = asyncio.get_running_loop(), Verdict(self.records, self.senders)
-        last = max((verdict.due(m) or 0.0 for m in self.records.messages.values() if m.answer == "OK"), default=0.0)
+        last = max(
+            (verdict.due(m) or 0.0 for m in self.records.messages.values() if m.answer == "OK"), default=0.0
+        )
         latest = loop.time() + AFTER_START + 8.0
         while loop.time() < min(latest, last + 0.1):
             verdict = Verdict(self.records, self.senders)
--- a/tests/standins/faults/verdict.py
+++ b/tests/standins/faults/verdict.py
@@ -50,6 +50,7 @@
 
     def way(self, m: Message) -> str:
         """A message's way through the run, times from when it was sent."""
+
         def at(time):
             return "-" if time is None else f"{time - m.sent:+.3f}"
 
@@ -123,7 +124,9 @@
 
     def after_notice(self, message: Message) -> None:
         notices = self.notices.get(message.id, [])
-        if notices and any(call.begun > notices[0].at + self.slack for call in self.calls.get(message.id, [])):
+        if notices and any(
+            call.begun > notices[0].at + self.slack for call in self.calls.get(message.id, [])
+        ):
             self.find("ended", "it was sent after its notice", message)
         if len({notice.outcome for notice in notices}) > 1:
             self.find("ended", "it was told two ends", message)
@@ -146,7 +149,11 @@
             message = self.records.messages.get(call.message)
             if message is None:
                 self.find("foreign", f"{call.receiver} got {call.message!r}, which no client handed in")
-            elif (call.body, call.token, call.destination) != (message.body, message.token, message.destination):
+            elif (call.body, call.token, call.destination) != (
+                message.body,
+                message.token,
+                message.destination,
+            ):
                 self.find("foreign", "it was sent otherwise than it was handed in", message)
 
     def order(self) -> None:
@@ -170,7 +177,9 @@
             message = self.records.messages.get(call.message)
             at = told.get((message.sender, call.receiver)) if message is not None else None
             if at is not None and call.begun > at + limit:
-                self.find("drain", f"{call.receiver} was told to drain {call.begun - at:.3f} s before", message)
+                self.find(
+                    "drain", f"{call.receiver} was told to drain {call.begun - at:.3f} s before", message
+                )
 
     def waits(self) -> None:
         told = [call for call in self.records.calls if call.outcome == "wait" and call.written]
@@ -182,9 +191,15 @@
                     continue
                 if call.destination != wait.destination:
                     continue
-                within = wait.written + WAIT_SLACK + self.slack < call.begun < wait.written + wait.wait - self.slack
+                within = (
+                    wait.written + WAIT_SLACK + self.slack
+                    < call.begun
+                    < wait.written + wait.wait - self.slack
+                )
                 if within and not self.restarted(message.sender, wait.written, call.begun):
-                    self.find("wait", f"{call.begun - wait.written:.3f} s into a wait of {wait.wait} s", message)
+                    self.find(
+                        "wait", f"{call.begun - wait.written:.3f} s into a wait of {wait.wait} s", message
+                    )
 
     def restarted(self, sender: str, since: float, until: float) -> bool:
         return any(since < life.started < until for life in self.senders[sender].lives)
@@ -195,8 +210,12 @@
             asked = [m for m in self.records.messages.values() if m.sender == sender.name]
             since = None
             for message in sorted(asked, key=lambda m: m.sent):
-                up = any(life.ready is not None and life.ready < message.sent and
-                         (life.down_from is None or message.sent < life.down_from) for life in sender.lives)
+                up = any(
+                    life.ready is not None
+                    and life.ready < message.sent
+                    and (life.down_from is None or message.sent < life.down_from)
+                    for life in sender.lives
+                )
                 if message.answer is not None or not up:
                     since = None
                     continue
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -166,7 +166,9 @@
         """Hand messages in for so many ms, and go on until all have their end."""
         for d in self.destinations.values():
             now, rate = 0.0, d.rate(0.0) * d.demand * d.size / 1000
-            swings = [self.rng.lognormvariate(-d.swing**2 / 2, d.swing) for _ in range(int(span / SWING) + 1)]
+            swings = [
+                self.rng.lognormvariate(-(d.swing**2) / 2, d.swing) for _ in range(int(span / SWING) + 1)
+            ]
             while (now := now + self.rng.expovariate(rate * swings[int(now / SWING)])) < span:
                 self.at(now, self.arrive, d)
         while self.queue and self.queue[0][0] < span + 14000:
@@ -268,19 +270,38 @@
         d.open += fresh and not full  # it closes one that it refuses
         passes = not full and d.answer(now)
         self.played.crowded += full
-        took = self.rng.lognormvariate(math.log(220.0), 0.6) * (1 + 0.15 * (len(parts) - 1)) if passes else 0.0
+        took = (
+            self.rng.lognormvariate(math.log(220.0), 0.6) * (1 + 0.15 * (len(parts) - 1)) if passes else 0.0
+        )
         wait = self.rng.uniform(200, 900) if not passes and not full and self.rng.random() < d.tells else 0.0
         outcome = i.Outcome.OK if passes else i.Outcome.FULL
         self.at(now + took + HOP, self.answer, n, d, parts, sent, outcome, wait, fresh, full)
 
     def answer(
-        self, now: float, n: int, d: Destination, parts: list, sent: float, outcome: i.Outcome, wait: float, fresh: bool, full: bool
+        self,
+        now: float,
+        n: int,
+        d: Destination,
+        parts: list,
+        sent: float,
+        outcome: i.Outcome,
+        wait: float,
+        fresh: bool,
+        full: bool,
     ) -> None:
         self.idle[n, d.number] += not full
         self.finish(now, n, d, parts, sent, outcome, wait, fresh)
 
     def finish(
-        self, now: float, n: int, d: Destination, parts: list, sent: float, outcome: i.Outcome, wait: float, fresh: bool
+        self,
+        now: float,
+        n: int,
+        d: Destination,
+        parts: list,
+        sent: float,
+        outcome: i.Outcome,
+        wait: float,
+        fresh: bool,
     ) -> None:
         if sent < self.born[n]:  # nobody is there to hear of it
             return
@@ -298,4 +319,6 @@
                 self.played.by_class[life.cls][1] += earned
                 self.played.delivered += 1
             closed = outcome is i.Outcome.OK
-            self.tell(now, n, i.Result(message, attempt, d.number, outcome, now - sent, closed, wait, (), fresh))
+            self.tell(
+                now, n, i.Result(message, attempt, d.number, outcome, now - sent, closed, wait, (), fresh)
+            )
--- a/tests/standins/full.py
+++ b/tests/standins/full.py
@@ -1,6 +1,6 @@
 """A sidecar whose disk is full for as long as a file named `full` stands in its working folder.
 
-    python -m standins.full run -c FILE
+python -m standins.full run -c FILE
 """
 
 import errno
--- a/tests/store/plays.py
+++ b/tests/store/plays.py
@@ -30,7 +30,9 @@
         self.unsure = set()  # names whose record waited for room when it was promised
         self.doing = set()  # names that the step which is under way is about
         self.store, self.segment, self.steps = Store(disk, size, now, machine), segment, 0
-        self.store.segment_size = segment or self.store.segment_size  # short ones: rollover and compaction in a small run
+        self.store.segment_size = (
+            segment or self.store.segment_size
+        )  # short ones: rollover and compaction in a small run
         self.out = {}
 
     def promise(self, kind, name):
@@ -57,7 +59,9 @@
             self.promise("refused", name)
 
     def begin(self):
-        free = [e for e in self.store.entries.values() if not e.begun and not e.end and e.number not in self.out]
+        free = [
+            e for e in self.store.entries.values() if not e.begun and not e.end and e.number not in self.out
+        ]
         some = free[: self.random.randrange(1, 4)]
         self.doing = {entry.id for entry in some}
         for entry in some:
@@ -118,7 +122,16 @@
 
     def step(self):
         self.now += 5.0
-        work = (self.take, self.take, self.begin, self.begin, self.resolve, self.resolve, self.answer, self.more)
+        work = (
+            self.take,
+            self.take,
+            self.begin,
+            self.begin,
+            self.resolve,
+            self.resolve,
+            self.answer,
+            self.more,
+        )
         self.random.choice(work)()
         self.store.tidy(self.now)
         self.steps += 1
--- a/tests/store/test_clock.py
+++ b/tests/store/test_clock.py
@@ -39,7 +39,9 @@
     assert third.opened_at == WALL + 9_000 and third.entries[2].begun == WALL + 3_000
 
 
-@pytest.mark.parametrize(("boot", "monotonic"), [(OTHER, MONOTONIC + 5_000), (BOOT, MONOTONIC - 1), (b"", MONOTONIC + 5_000)])
+@pytest.mark.parametrize(
+    ("boot", "monotonic"), [(OTHER, MONOTONIC + 5_000), (BOOT, MONOTONIC - 1), (b"", MONOTONIC + 5_000)]
+)
 def test_over_a_reboot_the_wall_clock_counts_and_one_put_back_proves_no_window_open(held, boot, monotonic):
     forward = store_at(held, WALL + 5_000, monotonic, boot)
     assert forward.opened_at == WALL + 5_000 and forward.entries[2].begun == WALL + 3_000
--- a/tests/store/test_crashes.py
+++ b/tests/store/test_crashes.py
@@ -112,12 +112,18 @@
         second.count = 100_000
         second.run(12)
         known = facts(play.promises, calls)
-        gone = {e for p in second.promises if p.kind in ("over", "begun", "told", "cleared") for e in [p.name]}
+        gone = {
+            e for p in second.promises if p.kind in ("over", "begun", "told", "cleared") for e in [p.name]
+        }
         late = under_way(play.promises, calls) | gone
         found = recovered(again.files, second.now)
         assert not found.harm, found.findings
         check(known, found.state.entries, play.bodies, late | {n for n in known if n in gone})
-        check({n: k for n, k in facts(second.promises).items() if n not in known}, found.state.entries, second.bodies)
+        check(
+            {n: k for n, k in facts(second.promises).items() if n not in known},
+            found.state.entries,
+            second.bodies,
+        )
 
 
 def test_a_crash_at_any_call_of_any_kind():
@@ -205,7 +211,11 @@
             assert found.harm, (name, at)
             for message, kinds in known.items():
                 entry = entries.get(message)
-                if entry and "begun" in kinds and [k for k in kinds if k in ("begun", "cleared")][-1] == "begun":
+                if (
+                    entry
+                    and "begun" in kinds
+                    and [k for k in kinds if k in ("begun", "cleared")][-1] == "begun"
+                ):
                     assert entry.begun or entry.risky_at, (at, message, kinds)
                 if entry:
                     assert entry.body == play.bodies[message][0]
@@ -213,7 +223,7 @@
 
 def test_without_an_index_a_flipped_bit_at_the_end_is_told_too():
     play = Play(Disk(), seed=12, size=SMALL).run(40)
-    (name, data), = segments(play.disk.files).items()
+    ((name, data),) = segments(play.disk.files).items()
     for at in range(len(data) - 40, len(data)):
         changed = bytearray(data)
         changed[at] ^= 0x10
--- a/tests/store/test_full.py
+++ b/tests/store/test_full.py
@@ -154,7 +154,9 @@
         moved = {p.name for p in play.promises if p.kind not in ("taken", "refused")}
         unsure |= play.unsure | play.doing
         promises = [p for p in promises if p.name not in moved] + play.promises
-        known = {name: kinds for name, kinds in facts(promises).items() if name not in earlier or name not in moved}
+        known = {
+            name: kinds for name, kinds in facts(promises).items() if name not in earlier or name not in moved
+        }
         check(known, play.store.entries, bodies, unsure)
         found = after(disk, play.now)
         assert not found.harm, found.findings
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -151,7 +151,9 @@
         back = opened(Disk({name: bytes(data)}))
     assert [e.id for e in back.entries.values()] == ["a", "c"]
     assert back.entries[1].risky_at == UNKNOWN and not back.entries[3].risky_at  # c came behind the damage
-    assert f"at byte {hit.at}" in caplog.text and "message a of class safe counts as having run" in caplog.text
+    assert (
+        f"at byte {hit.at}" in caplog.text and "message a of class safe counts as having run" in caplog.text
+    )
     assert again(back).entries[1].risky_at == UNKNOWN or again(back).found.harm
 
 
@@ -234,7 +236,9 @@
     store.roll(1000.0)
     old = store.files.image()
     store.compact(1000.0, 1 << 20)
-    both = store.files.image() | {name: data for name, data in old.items() if name.endswith(".seg") and name < max(old)}
+    both = store.files.image() | {
+        name: data for name, data in old.items() if name.endswith(".seg") and name < max(old)
+    }
     assert len(both) > len(store.files.image())
     back = opened(Disk(both))
     assert back.entries == store.entries and not back.found.harm and back.knows("m5", 2000.0)
@@ -298,9 +302,21 @@
     for back in (store, again(store), again(again(store))):
         assert [e.id for e in back.entries.values()] == ["a", "c"]
         one = back.entries[40]
-        assert (one.body, one.key, one.attempts, one.risky_at, one.end, one.retry) == (b"\x00one", 7, 1, 5000.0, "handed_back", 250)
+        assert (one.body, one.key, one.attempts, one.risky_at, one.end, one.retry) == (
+            b"\x00one",
+            7,
+            1,
+            5000.0,
+            "handed_back",
+            250,
+        )
         assert (back.entries[42].effect, back.entries[42].group, back.entries[42].window) == (1, "all", 5.0)
-        assert back.knows("x", 1000.0) and back.knows("b", 1000.0) and back.next == 43 and back.state.names == {"a": 3}
+        assert (
+            back.knows("x", 1000.0)
+            and back.knows("b", 1000.0)
+            and back.next == 43
+            and back.state.names == {"a": 3}
+        )
 
 
 def test_a_crash_at_any_call_of_the_upgrade_loses_nothing():
@@ -368,7 +384,11 @@
     store.compact(2000.0, 1 << 20)
     back = again(store, 3000.0)
     assert len(store.segments) == 1
-    assert (back.state.waits, back.state.outages, back.state.names) == ({"d3": 9000.0}, {"d3": 1500.0}, {"a": 3, "b": 4})
+    assert (back.state.waits, back.state.outages, back.state.names) == (
+        {"d3": 9000.0},
+        {"d3": 1500.0},
+        {"a": 3, "b": 4},
+    )
 
 
 def test_what_is_remembered_of_routes_is_bounded():
@@ -413,7 +433,9 @@
         assert counted + 512 <= size and store.live <= LIVE_SHARE * size
     assert refused > 300 and ends > 600 and store.refused == 0
     back = opened(Disk(disk.image()), size, now)
-    assert list(back.entries) == sorted(e.number for e in held) and back.entries == {e.number: e for e in held}
+    assert list(back.entries) == sorted(e.number for e in held) and back.entries == {
+        e.number: e for e in held
+    }
 
 
 def test_a_round_of_compaction_is_bounded():
@@ -463,7 +485,12 @@
     store.reserved = False
     told = []
     store.end(a, "given_up", 0, lambda: told.append("a"))
-    assert not told and not store.begin([b], 2000.0, 0) and not store.take(entry(store, "c")) and not store.room(b"")
+    assert (
+        not told
+        and not store.begin([b], 2000.0, 0)
+        and not store.take(entry(store, "c"))
+        and not store.room(b"")
+    )
     disk.room = None  # there is room again, and what waits was not tried yet: nothing passes it
     assert not store.begin([b], 2000.0, 0) and not store.take(entry(store, "c")) and store.waiting
     store.over([b])
@@ -572,14 +599,18 @@
     def restart(self, closed):
         self.disk.fail_at = frozenset()
         self.store.tidy(self.now)
-        before = {n: (e.id, e.attempts, e.begun, e.risky_at, e.end, e.body) for n, e in self.store.entries.items()}
+        before = {
+            n: (e.id, e.attempts, e.begun, e.risky_at, e.end, e.body) for n, e in self.store.entries.items()
+        }
         if closed:
             self.store.close()
         self.disk = Disk(self.disk.image())
         self.store = opened(self.disk, 256 << 10, self.now)
         self.store.segment_size = 3000
         assert not self.store.found.harm, self.store.found.findings
-        after = {n: (e.id, e.attempts, e.begun, e.risky_at, e.end, e.body) for n, e in self.store.entries.items()}
+        after = {
+            n: (e.id, e.attempts, e.begun, e.risky_at, e.end, e.body) for n, e in self.store.entries.items()
+        }
         assert {n: v[0] for n, v in after.items()} == {n: v[0] for n, v in before.items()}
         for number, (_, _, begun, risky, end, body) in before.items():
             assert after[number][4:] == (end, body)
--- a/tests/store/test_tool.py
+++ b/tests/store/test_tool.py
@@ -15,7 +15,11 @@
     store = Store(Folder(folder), 1_000_000, now)
     for n, (name, effect) in enumerate([("msg-a", 0), ("msg-b", 2), ("msg-c", 2), ("msg-d", 0)], 1):
         store.next = n + 1
-        store.take(Entry(n, name, "charge" if effect else "notice", 3, 0, "", now + 9e9, b"secret body", effect=effect))
+        store.take(
+            Entry(
+                n, name, "charge" if effect else "notice", 3, 0, "", now + 9e9, b"secret body", effect=effect
+            )
+        )
     store.entries[1].attempts = 1
     store.begin([store.entries[1]], now, 0)
     store.wait("d3", now + 5000)
@@ -55,7 +59,9 @@
     assert told["destinations"] == {"thumbs": 3} and told["outages"] and told["waits"] and not told["damaged"]
     rows = [json.loads(row) for row in run("dump", tmp_path).output.splitlines()]
     assert [row["seq"] for row in rows] == list(range(1, len(rows) + 1))
-    assert {"start", "next", "class", "message", "begin", "wait", "outage", "names", "end", "over"} == {row["kind"] for row in rows}
+    assert {"start", "next", "class", "message", "begin", "wait", "outage", "names", "end", "over"} == {
+        row["kind"] for row in rows
+    }
     assert "secret" not in run("dump", tmp_path).output
     assert image(tmp_path) == before
 
@@ -66,7 +72,9 @@
     before = image(tmp_path)
     done = run("check", tmp_path)
     assert done.exit_code == 1 and f"{path.name}:{at}: damage: " in done.output
-    assert "message msg-a of class notice counts as having run" in done.output and done.output.endswith("damaged\n")
+    assert "message msg-a of class notice counts as having run" in done.output and done.output.endswith(
+        "damaged\n"
+    )
     done = run("repair", tmp_path)
     assert done.exit_code == 0 and "nothing was written" in done.output
     assert image(tmp_path) == before
@@ -84,8 +92,15 @@
     assert (aside / path.name).read_bytes() == spoilt
     assert run("check", folder).output == "no damage\n"
     store = Store(Folder(folder), 1_000_000, 1_700_000_001_000.0)
-    assert [(e.id, bool(e.risky_at or e.begun)) for e in store.entries.values()] == [("msg-a", True), ("msg-c", False)]
-    assert store.state.names == {"thumbs": 3} and store.knows("msg-d", 1_700_000_001_000.0) and not store.found.harm
+    assert [(e.id, bool(e.risky_at or e.begun)) for e in store.entries.values()] == [
+        ("msg-a", True),
+        ("msg-c", False),
+    ]
+    assert (
+        store.state.names == {"thumbs": 3}
+        and store.knows("msg-d", 1_700_000_001_000.0)
+        and not store.found.harm
+    )
     store.close()
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,11 @@
     (tmp_path / "none").mkdir()
     assert run("check", "good.toml").exit_code == 0
     done = run("check", "bad.toml")
-    assert done.exit_code == 1 and "bad.toml:16:1: error[E103]" in done.output and "did you mean 'slots'?" in done.output
+    assert (
+        done.exit_code == 1
+        and "bad.toml:16:1: error[E103]" in done.output
+        and "did you mean 'slots'?" in done.output
+    )
     for words in (("nosuch.toml",), ("good.toml", "nosuch.toml"), ("none",), ()):
         assert run("check", *words).exit_code == 2, words
     (tmp_path / "latin.toml").write_bytes(b'x = "\xe9"')
@@ -33,7 +37,12 @@
     (tmp_path / "a.toml").write_text(GOOD)
     (tmp_path / "b.toml").write_text(GOOD)
     done = run("check", ".")
-    assert done.exit_code == 1 and "see a.toml:" in done.output and "E601" in done.output and "E602" in done.output
+    assert (
+        done.exit_code == 1
+        and "see a.toml:" in done.output
+        and "E601" in done.output
+        and "E602" in done.output
+    )
 
 
 def test_check_for_tools(run, tmp_path):
@@ -84,11 +93,29 @@
 
 
 def test_init_by_questions_asks_again_until_it_can_be_read(run, tmp_path):
-    answers = ["render", "keyed", "1 parsec", "60 s", "video", "n", "Thumbs!", "thumbs", "nowhere", "10.0.0.1:80", "5/s", "n"]
+    answers = [
+        "render",
+        "keyed",
+        "1 parsec",
+        "60 s",
+        "video",
+        "n",
+        "Thumbs!",
+        "thumbs",
+        "nowhere",
+        "10.0.0.1:80",
+        "5/s",
+        "n",
+    ]
     done = run("init", "shop", "--ask", input="\n".join(answers) + "\n")
     assert done.exit_code == 0, done.output
     text = (tmp_path / "shop.toml").read_text()
-    assert "[class.render]" in text and 'key = "video"' in text and "[destination.thumbs]" in text and 'rate = "5/s"' in text
+    assert (
+        "[class.render]" in text
+        and 'key = "video"' in text
+        and "[destination.thumbs]" in text
+        and 'rate = "5/s"' in text
+    )
     assert run("check", "shop.toml").exit_code == 0
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -81,7 +81,11 @@
 ])  # fmt: skip
 def test_malformed_resp_ends_that_connection_alone(data):
     async def story():
-        async with serving() as (clients, _), Client(clients.port) as bystander, Client(clients.port) as client:
+        async with (
+            serving() as (clients, _),
+            Client(clients.port) as bystander,
+            Client(clients.port) as client,
+        ):
             assert (await client.ask(data)).startswith("-ERR")
             with contextlib.suppress(ConnectionError):
                 assert await client.answer() is None
@@ -185,7 +189,10 @@
 
     async def story():
         answer = asyncio.get_running_loop().create_future()
-        async with serving(lambda m: answer, most=2) as (clients, taken), contextlib.AsyncExitStack() as stack:
+        async with (
+            serving(lambda m: answer, most=2) as (clients, taken),
+            contextlib.AsyncExitStack() as stack,
+        ):
             waiting, idle = [await stack.enter_async_context(Client(clients.port)) for _ in range(2)]
             waiting.writer.write(put("a"))
             assert await idle.ask(command("PING")) == "PONG"
@@ -245,7 +252,11 @@
     drive(story())
 
 
-RUBBISH = {"line": b"noise\r\n", "flood": b"noise\r\n" + b"x" * 3_000_000, "bulk": b"*1\r\n$4\r\nPINGxx" + put("c")}
+RUBBISH = {
+    "line": b"noise\r\n",
+    "flood": b"noise\r\n" + b"x" * 3_000_000,
+    "bulk": b"*1\r\n$4\r\nPINGxx" + put("c"),
+}
 
 
 @pytest.mark.parametrize("rest", RUBBISH.values(), ids=RUBBISH)
@@ -254,7 +265,10 @@
 
     async def story():
         answers = [asyncio.get_running_loop().create_future() for _ in range(2)]
-        async with serving(lambda m: answers[len(taken) - 1]) as (clients, taken), Client(clients.port) as client:
+        async with (
+            serving(lambda m: answers[len(taken) - 1]) as (clients, taken),
+            Client(clients.port) as client,
+        ):
             client.writer.write(put("a") + put("b") + rest)
             await until(lambda: len(taken) == 2)
             client.writer.write(put("d"))
@@ -358,11 +372,17 @@
     monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_TIME", 0.0)
 
     async def story():
-        async with serving(most=2) as (clients, taken), Client(clients.port) as one, Client(clients.port) as two:
+        async with (
+            serving(most=2) as (clients, taken),
+            Client(clients.port) as one,
+            Client(clients.port) as two,
+        ):
             assert [await one.ask(command("PING")), await two.ask(command("PING"))] == ["PONG"] * 2
             await asyncio.sleep(0.01)
             os.write(one.writer.get_extra_info("socket").fileno(), put("a"))
-            assert clients.free_one()  # the loop has not read it: the one that asked first would be the one to go
+            assert (
+                clients.free_one()
+            )  # the loop has not read it: the one that asked first would be the one to go
             assert await one.answer() == "OK" and [m.id for m in taken] == ["a"]
             assert await two.answer() is None
 
@@ -432,6 +452,7 @@
 
     drive(story())
 
+
 def test_request_that_the_parser_refuses_ends_no_other_connection():
     """Guards against one client's request breaking the requests of all others for good."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -78,6 +78,9 @@
     assert firsts[-1] - firsts[0] >= least and firsts[-1] <= most
 
 
-@pytest.mark.parametrize("known", [{}, {"seq": 3}, {"seq": "3", "hosts": [1]}, {"seq": -1, "hosts": [1]}, {"seq": True, "hosts": [1]}])
+@pytest.mark.parametrize(
+    "known",
+    [{}, {"seq": 3}, {"seq": "3", "hosts": [1]}, {"seq": -1, "hosts": [1]}, {"seq": True, "hosts": [1]}],
+)
 def test_a_list_without_a_version_is_asked_for_whole(known):
     assert platform.read_seq(known) is None
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -77,13 +77,20 @@
 
 def test_bound_by_is_never_laxer_than_either():
     groups = ("all", "zone")
-    made = [replace(SAFE, effect=e, group=g, repeat_window=w) for e in i.Effect for g in groups for w in (0.0, 5.0, 9.0)]
+    made = [
+        replace(SAFE, effect=e, group=g, repeat_window=w)
+        for e in i.Effect
+        for g in groups
+        for w in (0.0, 5.0, 9.0)
+    ]
     for one, two in itertools.product(made, made):
         both = one.bound_by(two.effect, two.group, two.repeat_window)
         assert both.effect == max(one.effect, two.effect)
         for cls in (one, two):
             if cls.effect is both.effect is i.Effect.KEYED:
-                assert both.repeat_window <= cls.repeat_window and (both.group == "zone" or cls.group == "all")
+                assert both.repeat_window <= cls.repeat_window and (
+                    both.group == "zone" or cls.group == "all"
+                )
 
 
 def test_a_new_class_can_be_used_and_old_ones_keep_what_was_learnt():
@@ -144,7 +151,13 @@
 def test_classes_keep_their_numbers_whatever_order_an_edit_gives_them():
     old = model()
     head, tail = GOOD.split("[class.notice]"), GOOD.index("[class.render]")
-    moved = head[0] + GOOD[tail : GOOD.index("[kind.single]")] + "[class.notice]" + GOOD[GOOD.index("[class.notice]") + 14 : tail] + GOOD[GOOD.index("[kind.single]") :]
+    moved = (
+        head[0]
+        + GOOD[tail : GOOD.index("[kind.single]")]
+        + "[class.notice]"
+        + GOOD[GOOD.index("[class.notice]") + 14 : tail]
+        + GOOD[GOOD.index("[kind.single]") :]
+    )
     new = change.reordered(old, model(moved))
     assert list(model(moved).classes) != list(old.classes) == list(new.classes)
     assert not change.changes(old, new) and place.settings(new) == place.settings(old)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -130,7 +130,9 @@
     return rig.sender.routes[1][0].down
 
 
-@pytest.mark.parametrize(("senders", "calls", "down"), [(1, 3, True), (3, 3, True), (40, 3, False), (40, 12, True)])
+@pytest.mark.parametrize(
+    ("senders", "calls", "down"), [(1, 3, True), (3, 3, True), (40, 3, False), (40, 12, True)]
+)
 def test_refusals_in_a_row_are_an_outage_to_one_of_few_sooner(senders, calls, down):
     """join+vast: where others use a limit up, three calls in a row are refused for each sender now and then."""
     assert refused(Rig(senders=senders), calls, gap=2000.0) is down
@@ -173,7 +175,9 @@
         rig.arrive(n)
         attempt, endpoint = rig.last[n]
         fresh = n == 0
-        seen += closes(rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), fresh), after=50.0))
+        seen += closes(
+            rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), fresh), after=50.0)
+        )
         rig.do(after=2000.0)
     assert seen[:1] == closed
 
@@ -211,7 +215,9 @@
         while n not in rig.tries:
             rig.do(after=20.0)
         attempt, endpoint = rig.last[n]
-        shut += closes(rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), True), after=50.0))
+        shut += closes(
+            rig.do(i.Result(n, attempt, endpoint, i.Outcome.OK, 50.0, True, 0.0, (), True), after=50.0)
+        )
     assert 5 <= len(shut) <= 15 and rig.now < begun + 30000.0  # sooner than by time alone
 
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -23,7 +23,10 @@
     monkeypatch.setattr("rainpier.node.node.SWEEP", 0.02)
 
     async def story():
-        async with HttpPeer(lambda request, body: (200, [("X-Retry-In-Ms", "1")], b"")) as receiver, Agent() as agent:
+        async with (
+            HttpPeer(lambda request, body: (200, [("X-Retry-In-Ms", "1")], b"")) as receiver,
+            Agent() as agent,
+        ):
             receiver.requests = asyncio.Queue()
             agent.hosts = [host("r0", receiver.dial)]
             async with sender(tmp_path, agent) as node:
@@ -39,9 +42,15 @@
                     await until(lambda fresh=fresh: fresh[-1]["host"] in node.hosts.numbers)
                 await until(lambda: len(node.hosts.numbers) <= 20)
                 module = node.sender
-                left = sizes(module, ("live", "calls", "lines", "rests")) | sizes(node.calls, ("out",)) | sizes(node.intake, ("names", "offers"))
+                left = (
+                    sizes(module, ("live", "calls", "lines", "rests"))
+                    | sizes(node.calls, ("out",))
+                    | sizes(node.intake, ("names", "offers"))
+                )
                 assert not any(left.values()), left
-                assert len(module.endpoints) == len(node.hosts.numbers) == len(node.calls.receivers.listed) == 20
+                assert (
+                    len(module.endpoints) == len(node.hosts.numbers) == len(node.calls.receivers.listed) == 20
+                )
                 assert len(module.routes) == len(node.hosts.destinations) == 1 and not module.held
                 assert [len(routes) for routes in module.routes.values()] == [1]
                 await until(lambda: not len(node.calls.waits.until))
@@ -98,7 +107,9 @@
     rig = Rig(kinds=(i.Kind("routes", apart=True),))
     gone = i.Condition.GONE
     for endpoint in range(100, 100 + EVER):
-        rig.do(i.ListChange(i.ListKind.DELTA, (i.Listed(endpoint, 1), i.Listed(endpoint - 1, 1, condition=gone))))
+        rig.do(
+            i.ListChange(i.ListKind.DELTA, (i.Listed(endpoint, 1), i.Listed(endpoint - 1, 1, condition=gone)))
+        )
         rig.sender.rouse(1)
         if down:
             (route,) = [r for r in rig.sender.routes[1] if r.endpoints[0].info.endpoint == endpoint]
--- a/tests/test_handshake.py
+++ b/tests/test_handshake.py
@@ -184,7 +184,12 @@
     async def story():
         server = await serve()
         async with Client(server.port) as client:
-            client.writer.write(command("CLIENT", "SETNAME", "x") + command("SELECT", "0") + put("one") + command("ECHO", "end"))
+            client.writer.write(
+                command("CLIENT", "SETNAME", "x")
+                + command("SELECT", "0")
+                + put("one")
+                + command("ECHO", "end")
+            )
             assert [await client.answer() for _ in range(4)] == ["OK", "OK", "OK", "end"]
         await server.close(within=1.0)
 
@@ -209,7 +214,13 @@
         taken = []
         server = await serve(lambda put: taken.append(put) or Taken(), password="correct-horse")
         async with Client(server.port) as client:
-            for ask in (put("one"), command("PING"), command("INFO"), command("CLIENT", "ID"), command("NOSUCH")):
+            for ask in (
+                put("one"),
+                command("PING"),
+                command("INFO"),
+                command("CLIENT", "ID"),
+                command("NOSUCH"),
+            ):
                 assert (await client.ask(ask)).startswith("-NOAUTH")
             assert (await client.ask(command("HELLO", "3"))).startswith("-NOAUTH")
             assert (await client.ask(command("AUTH", "other", "correct-horse"))).startswith("-WRONGPASS")
--- a/tests/test_killed.py
+++ b/tests/test_killed.py
@@ -37,7 +37,9 @@
                         sequence[number] += 1
                         name = f"{cls[0]}{number}-{sequence[number]}"
                         try:
-                            told = await peer.ask(put(name, cls=cls, dest=1, key=f"{number + 1:x}", body=BODY))
+                            told = await peer.ask(
+                                put(name, cls=cls, dest=1, key=f"{number + 1:x}", body=BODY)
+                            )
                         except OSError:
                             return
                         if told == "OK":
@@ -72,7 +74,9 @@
             assert {name for name, count in ran.items() if count > 1 and name.startswith("u")} == set()
             assert all(name.startswith("u") for name in given_up), given_up  # the others can be sent again
             handed_back = set(ends) - set(given_up)
-            assert not {name for name in handed_back if name.startswith("u")} & ran.keys(), "handed back, yet it ran"
+            assert (
+                not {name for name in handed_back if name.startswith("u")} & ran.keys()
+            ), "handed back, yet it ran"
             assert all(numbers == sorted(numbers) for numbers in order.values())
             assert len(handed) > 46 * SPAN * KILLS
 
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -47,7 +47,9 @@
             async with Client(node.port) as client:
                 assert await client.ask(put("charge", cls="unsafe", d=20000)) == "OK"
                 for _ in range(3):
-                    assert (await receiver.next())[1][b"x-call-id"] != b"charge"  # trials are made with the others
+                    assert (await receiver.next())[1][
+                        b"x-call-id"
+                    ] != b"charge"  # trials are made with the others
                 assert "charge" in node.store.numbers
             await stop()
 
@@ -57,7 +59,10 @@
 def test_a_told_wait_outlasts_the_process(tmp_path):
     async def story():
         waits = [("X-Retry-In-Ms", "1200")]
-        async with HttpPeer(lambda request, body: (429, waits, b"") if waits else (200, [], b"")) as receiver, Agent() as agent:
+        async with (
+            HttpPeer(lambda request, body: (429, waits, b"") if waits else (200, [], b"")) as receiver,
+            Agent() as agent,
+        ):
             agent.hosts = [host("r1", receiver.dial)]
             node, stop = await begin(tmp_path, agent, destinations={"thumbs": 3})
             async with Client(node.port) as client:
@@ -184,7 +189,9 @@
             slow.go.set()
             assert await asyncio.gather(*asked) == ["OK"] * 20
             await until(lambda: not node.store.entries)
-            assert node.core.commit.commits - before <= 2 + 20  # the one under way, one for the rest; 20 attempts at most
+            assert (
+                node.core.commit.commits - before <= 2 + 20
+            )  # the one under way, one for the rest; 20 attempts at most
             for client in clients:
                 await client.__aexit__()
             await stop()
@@ -192,7 +199,9 @@
     drive(story())
 
 
-def test_after_a_failed_fsync_nothing_is_promised_until_it_is_written_anew_and_then_it_goes_on(tmp_path, slow):
+def test_after_a_failed_fsync_nothing_is_promised_until_it_is_written_anew_and_then_it_goes_on(
+    tmp_path, slow
+):
     """Guards against a promise that rests on a second fsync of the same file, and against waiting for a person."""
 
     async def story():
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -1,6 +1,5 @@
 """Large lists: taken up in slices, drains first, with nothing left out; and what comes of a destination that moved."""
 
-
 import pytest
 from peers import Agent, Client, HttpPeer, drive, host, put, until
 from test_node import sender
--- a/tests/test_many_peers.py
+++ b/tests/test_many_peers.py
@@ -102,7 +102,9 @@
         async with HttpPeer(lambda request, body: (200, [], b"")) as server, Agent() as agent:
             agent.hosts = [host("good", server.dial)]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
-                agent.change(*agent.hosts, host("odd", server.dial, kind="nosuch"), host("also", server.dial, block=4))
+                agent.change(
+                    *agent.hosts, host("odd", server.dial, kind="nosuch"), host("also", server.dial, block=4)
+                )
                 await until(lambda: "also" in node.hosts.numbers)
                 assert "odd" not in node.hosts.numbers and "unknown class: nosuch" in caplog.text
                 assert await client.ask(put("one")) == "OK"
@@ -111,7 +113,9 @@
     drive(story())
 
 
-def test_a_list_that_is_too_long_is_named_with_the_bound_and_the_last_one_serves_on(tmp_path, caplog, monkeypatch):
+def test_a_list_that_is_too_long_is_named_with_the_bound_and_the_last_one_serves_on(
+    tmp_path, caplog, monkeypatch
+):
     monkeypatch.setattr(discovery, "MAX_LIST", 20_000)
 
     async def story():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -100,7 +100,10 @@
         async with HttpPeer(lambda request, body: never) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
             limits = {"open-cap": 3, "max-attempts": 12}
-            async with sender(tmp_path, agent, **{"policy-limits": limits}) as node, Client(node.port) as client:
+            async with (
+                sender(tmp_path, agent, **{"policy-limits": limits}) as node,
+                Client(node.port) as client,
+            ):
                 answers = [await client.ask(put(f"m{n}")) for n in range(8)]
                 assert answers[0] == "OK" and answers[-1].startswith("-BUSY ")
                 assert len(node.store.entries) <= 3
@@ -134,7 +137,10 @@
         async with HttpPeer(reply) as receiver, Agent() as agent:
             agent.hosts, agent.refuse_notices = [host("r1", receiver.dial)], 1000
             limits = {"open-cap": 100, "max-attempts": 1}
-            async with sender(tmp_path, agent, **{"policy-limits": limits}) as node, Client(node.port) as client:
+            async with (
+                sender(tmp_path, agent, **{"policy-limits": limits}) as node,
+                Client(node.port) as client,
+            ):
                 line = {"cls": "keyed", "key": "7"}
                 assert await client.ask(put("one", **line)) == "OK"
                 assert await client.ask(put("two", **line)) == "OK"
@@ -170,7 +176,10 @@
     async def story():
         gate = asyncio.get_running_loop().create_future()
         first = asyncio.get_running_loop().create_future()
-        async with HttpPeer(lambda request, body: gate if b"short" in body else first) as receiver, Agent() as agent:
+        async with (
+            HttpPeer(lambda request, body: gate if b"short" in body else first) as receiver,
+            Agent() as agent,
+        ):
             agent.hosts = [host("r1", receiver.dial, kind="bulk")]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
                 for name, d in (("short", 500), ("long", 20000)):
@@ -179,7 +188,9 @@
                 target, _, body = await receiver.next()
                 assert target.endswith(":batch")
                 assert await agent.notice() == {"message": "short", "outcome": "given_up"}
-                gate.set_result((200, [], b'[{"id":"short","state":"delivered"},{"id":"long","state":"delivered"}]'))
+                gate.set_result(
+                    (200, [], b'[{"id":"short","state":"delivered"},{"id":"long","state":"delivered"}]')
+                )
                 await until(lambda: not node.store.entries)
                 assert agent.notices.empty() and not node.calls.out
 
@@ -202,7 +213,9 @@
 
         async with HttpPeer(hangs) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial, kind="bulk")]
-            classes = [SETTINGS["classes"][2] | {"objective": 20000.0}]  # so that the most urgent is worth the most
+            classes = [
+                SETTINGS["classes"][2] | {"objective": 20000.0}
+            ]  # so that the most urgent is worth the most
             async with sender(tmp_path, agent, classes=classes) as node, Client(node.port) as client:
                 for d in (500, 20000, 9000):
                     client.writer.write(put(f"m-{d}", cls="unsafe", d=d))
@@ -220,7 +233,10 @@
     """A wait that is told while a call connects holds it too, if it was not written yet."""
 
     async def story():
-        async with HttpPeer(lambda request, body: (429, [("X-Retry-In-Ms", "700")], b"")) as receiver, Agent() as agent:
+        async with (
+            HttpPeer(lambda request, body: (429, [("X-Retry-In-Ms", "700")], b"")) as receiver,
+            Agent() as agent,
+        ):
             agent.hosts = [host("r1", receiver.dial)]
             async with sender(tmp_path, agent) as node, Client(node.port) as client:
                 connect, gate = node.calls.receivers.connect, asyncio.Event()
@@ -248,7 +264,10 @@
     async def story():
         async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
             agent.hosts = [host("r1", receiver.dial)]
-            async with sender(tmp_path, agent, rules={"drain-grace": 200.0}) as node, Client(node.port) as client:
+            async with (
+                sender(tmp_path, agent, rules={"drain-grace": 200.0}) as node,
+                Client(node.port) as client,
+            ):
                 connect, gate = node.calls.receivers.connect, asyncio.Event()
 
                 async def slow(to):
@@ -283,7 +302,9 @@
                     return handle(now, events)
 
                 node.sender.handle = fail
-                client.writer.write(b"".join(put(name, cls="keyed", key="7") for name in ("one", "two", "three")))
+                client.writer.write(
+                    b"".join(put(name, cls="keyed", key="7") for name in ("one", "two", "three"))
+                )
                 told = [await client.answer() for _ in range(3)]
                 assert told[0] == told[2] == "OK" and told[1].startswith("-BUSY ")
                 assert [(await receiver.next())[1][b"x-call-id"] for _ in range(2)] == [b"one", b"three"]
@@ -449,7 +470,9 @@
     assert platform.SPARE + platform.PAUSE <= 1.7 and platform.LIST_TIMEOUT + platform.PAUSE < 6
 
 
-@pytest.mark.parametrize("junk", [b"not json", b"[]", b'{"seq":9}', b'{"seq":9,"whole":true,"hosts":[{"host":1}]}'])
+@pytest.mark.parametrize(
+    "junk", [b"not json", b"[]", b'{"seq":9}', b'{"seq":9,"whole":true,"hosts":[{"host":1}]}']
+)
 def test_a_list_that_cannot_be_read_is_asked_for_again(tmp_path, junk):
     async def story():
         async with HttpPeer(lambda request, body: (200, [], b"")) as receiver, Agent() as agent:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -16,7 +16,13 @@
     """A sender, a clock, and the attempts that are out."""
 
     def __init__(self, endpoints=((7, 1),), **settings):
-        plain = {"classes": (SAFE, KEYED, UNSAFE, ORDERED), "slots": 8, "tick": 5.0, "may_cancel": True, "turn_gap": 300.0}
+        plain = {
+            "classes": (SAFE, KEYED, UNSAFE, ORDERED),
+            "slots": 8,
+            "tick": 5.0,
+            "may_cancel": True,
+            "turn_gap": 300.0,
+        }
         self.sender = Sender(i.Settings(**(plain | settings)), seed=1)
         self.now, self.tries, self.last = T0, {}, {}
         kinds = {e[0]: (e[2] if len(e) > 2 else 0) for e in endpoints}
@@ -123,7 +129,9 @@
     rig.result(1, i.Outcome.FULL)
     low = rig.sender.routes[1][0].pace
     for _ in range(12):
-        for message in [m for m, (_, _) in list(rig.last.items()) if rig.sender.live.get(m) and rig.sender.live[m].out]:
+        for message in [
+            m for m, (_, _) in list(rig.last.items()) if rig.sender.live.get(m) and rig.sender.live[m].out
+        ]:
             rig.result(message, i.Outcome.OK, after=50.0)
         rig.arrive(1000 + rig.now, left=20000.0)
         rig.run(1000)
@@ -145,7 +153,9 @@
     assert not any(isinstance(a, i.Cancel) for _, a in rig.run(5000))
 
 
-@pytest.mark.parametrize("outcome", [i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED])
+@pytest.mark.parametrize(
+    "outcome", [i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED]
+)
 def test_unsafe_ends_failed_once_it_may_have_run(outcome):
     rig = Rig()
     rig.arrive(1, cls=2)
@@ -176,7 +186,10 @@
     assert 2 not in sends(a for _, a in rig.run(100))  # 1 is over, but its attempt is out
     rig.result(1, i.Outcome.TIMEOUT, closed=True)
     at = rig.now
-    assert min(time for time, a in rig.run(1000) if a == i.Send(2, 7, a.timeout if isinstance(a, i.Send) else 0)) > at + 300
+    assert (
+        min(time for time, a in rig.run(1000) if a == i.Send(2, 7, a.timeout if isinstance(a, i.Send) else 0))
+        > at + 300
+    )
 
 
 @pytest.mark.parametrize("change", [
@@ -391,7 +404,9 @@
     rig.do(i.Stalled(True))
     assert not sends(rig.arrive(1)) and not sends(rig.arrive(2, left=700.0))
     seen = rig.run(6000.0)
-    assert [type(a) for _, a in seen if not isinstance(a, i.SetTimer)] == [i.Refuse]  # the one whose time is up
+    assert [type(a) for _, a in seen if not isinstance(a, i.SetTimer)] == [
+        i.Refuse
+    ]  # the one whose time is up
     assert len(seen) < 10  # no round after round for what can't be sent
     assert sends(rig.do(i.Stalled(False))) == [1] and rig.sender.live[1].attempts == 1
 
@@ -408,7 +423,10 @@
                 break
             rig.do(after=20.0)
         out = next(iter(rig.sender.out.values()))
-        rig.do(*(i.Result(m, tries, 7, outcome, 20.0, outcome is i.Outcome.OK) for m, tries in out.parts), after=20.0)
+        rig.do(
+            *(i.Result(m, tries, 7, outcome, 20.0, outcome is i.Outcome.OK) for m, tries in out.parts),
+            after=20.0,
+        )
         return out.size
 
     assert [call(i.Outcome.OK) for _ in range(3)] == [16, 16, 16]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -69,7 +69,11 @@
                 assert await client.ask(put("unsafe-out", cls="unsafe")) == "OK"
                 assert await client.ask(put("safe-out")) == "OK"
                 assert await client.ask(put("keyed-out", cls="keyed", key="7", more=",k=tok")) == "OK"
-                assert {call_id(await receiver.next()) for _ in range(3)} == {"unsafe-out", "safe-out", "keyed-out"}
+                assert {call_id(await receiver.next()) for _ in range(3)} == {
+                    "unsafe-out",
+                    "safe-out",
+                    "keyed-out",
+                }
                 assert await client.ask(put("keyed-next", cls="keyed", key="7")) == "OK"
                 await first.kill()
             answer.set_result((200, [], b""))
@@ -243,7 +247,13 @@
     {"settings": {"rules": {"fall": 0.0}}},
 ])  # fmt: skip
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, change):
-    raw = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c", "settings": SETTINGS}
+    raw = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c",
+        "settings": SETTINGS,
+    }
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw | change))
     done = run({"EDGE_CONFIG": str(path), "EDGE_STATE": str(tmp_path)})
@@ -252,7 +262,10 @@
 
 def test_a_missing_or_unreadable_configuration_is_one_line_and_exit_2(tmp_path):
     path = tmp_path / "config.json"
-    for env in ({"EDGE_CONFIG": "", "EDGE_STATE": ""}, {"EDGE_CONFIG": str(path), "EDGE_STATE": str(tmp_path)}):
+    for env in (
+        {"EDGE_CONFIG": "", "EDGE_STATE": ""},
+        {"EDGE_CONFIG": str(path), "EDGE_STATE": str(tmp_path)},
+    ):
         done = run(env)
         assert done.returncode == 2 and len(done.stderr.strip().splitlines()) == 1, done.stderr
     path.write_text("{")
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -18,7 +18,9 @@
 
 
 def entries(*names):
-    return [Entry(n, name, "safe", 3, 0, "k-" + name, 9e12, b"\x00body\xff") for n, name in enumerate(names, 1)]
+    return [
+        Entry(n, name, "safe", 3, 0, "k-" + name, 9e12, b"\x00body\xff") for n, name in enumerate(names, 1)
+    ]
 
 
 class Bench:
@@ -27,7 +29,9 @@
     def __init__(self, port, may_write=lambda call: True, most=256, **limits):
         raw = SETTINGS | {"policy-limits": SETTINGS["policy-limits"] | limits}
         self.ended = asyncio.Queue()
-        self.receivers = Receivers(settings(raw), may_write, lambda call, ending: self.ended.put_nowait(ending), most)
+        self.receivers = Receivers(
+            settings(raw), may_write, lambda call, ending: self.ended.put_nowait(ending), most
+        )
         self.port = port
         self.list(i.Condition.READY)
 
@@ -94,7 +98,15 @@
         async with HttpPeer(answer) as peer:
             ending = await Bench(peer.port).call(*"abcdefg")
             assert outcomes(ending) == [O.OK, O.ERROR, O.FULL, O.MOOT, O.MOOT, O.ERROR, O.ERROR]
-            assert [closed for _, closed in ending.outcomes] == [False, False, False, True, False, False, False]
+            assert [closed for _, closed in ending.outcomes] == [
+                False,
+                False,
+                False,
+                True,
+                False,
+                False,
+                False,
+            ]
             assert ending.wait == 90
             target, _, body = await peer.next()
             assert target == "/v1/messages:batch"
@@ -398,7 +410,9 @@
             connection.transport.pause_reading()
             (writer,) = peer.writers
             writer.write(FULL)
-            await until(lambda: connection.sock.recv(1, socket.MSG_PEEK) if readable(connection.sock) else b"")
+            await until(
+                lambda: connection.sock.recv(1, socket.MSG_PEEK) if readable(connection.sock) else b""
+            )
             assert outcomes(await bench.call("b")) == [O.OK] and peer.accepted == 2
 
     drive(story())
@@ -408,14 +422,22 @@
     return bool(select.select([sock], [], [], 0)[0])
 
 
-@pytest.mark.parametrize("report", ["x=nan,y=1", "x=inf,y=1", "x=-1,y=1", "x=1", "junk", "x=1e300,y=1", "x=,y=1"])
+@pytest.mark.parametrize(
+    "report", ["x=nan,y=1", "x=inf,y=1", "x=-1,y=1", "x=1", "junk", "x=1e300,y=1", "x=,y=1"]
+)
 def test_a_load_report_that_cannot_be_true_is_none(report):
     assert load_report({"x-load-report": report}, ("x", "y")) == ()
     assert load_report({"x-load-report": "x=0.5,y=1"}, ("x", "y")) == (0.5, 1.0)
 
 
 def test_a_told_wait_is_bounded():
-    assert [told_wait({"x-retry-in-ms": text}) for text in ("nan", "-5", "1e400", "x", "250")] == [0, 0, 0, 0, 250]
+    assert [told_wait({"x-retry-in-ms": text}) for text in ("nan", "-5", "1e400", "x", "250")] == [
+        0,
+        0,
+        0,
+        0,
+        250,
+    ]
     assert told_wait({"x-retry-in-ms": "99999999999999"}) == 600_000
 
 
@@ -432,7 +454,10 @@
 
 def test_idle_connections_make_room_for_new_ones():
     async def story():
-        async with HttpPeer(lambda request, body: (200, [], b"")) as one, HttpPeer(lambda r, b: (200, [], b"")) as two:
+        async with (
+            HttpPeer(lambda request, body: (200, [], b"")) as one,
+            HttpPeer(lambda r, b: (200, [], b"")) as two,
+        ):
             bench = Bench(one.port, most=3)
             for _ in range(3):
                 bench.start("a")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -84,7 +84,9 @@
     drive(story())
 
 
-def test_a_file_that_cannot_be_read_for_a_moment_or_is_half_written_is_taken_over_then(tmp_path, tmp_path_factory):
+def test_a_file_that_cannot_be_read_for_a_moment_or_is_half_written_is_taken_over_then(
+    tmp_path, tmp_path_factory
+):
     """Guards against a move of discovery that is forgotten, so that drains are missed, because one read failed."""
 
     async def story():
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -28,7 +28,9 @@
     with contextlib.ExitStack() as stack:
         receiver = started(stack, receive.replace("8080", "0"), tmp_path)
         port = re.search(r":(\d+)", receiver.stdout.readline())[1]
-        done = subprocess.run(["sh", "-ec", first.replace("8080", port)], cwd=tmp_path, env=ENV, capture_output=True, text=True)
+        done = subprocess.run(
+            ["sh", "-ec", first.replace("8080", port)], cwd=tmp_path, env=ENV, capture_output=True, text=True
+        )
         assert done.returncode == 0 and "0 mistakes" in done.stdout, done.stdout + done.stderr
         file = tmp_path / "shop.toml"
         file.write_text(file.read_text().replace("127.0.0.1:6379", "127.0.0.1:0"))
@@ -65,7 +67,9 @@
 
 
 def started(stack, words, folder):
-    process = subprocess.Popen(words.split(), cwd=folder, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        words.split(), cwd=folder, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    )
     stack.callback(process.wait)
     stack.callback(process.kill)
     return process
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -68,7 +68,9 @@
 @pytest.mark.parametrize("listed", [200.0, 400.0])
 def test_two_hundred_senders_find_a_returning_destination_before_it_is_warm(listed):
     """zone+mass: trials up to 24 s apart found one of 200 calls a second 3 to 20 s after its return."""
-    large = Destination(1, lambda now: 200.0, kind=0, listed=listed, counts=False, down=(6000.0, 11000.0), size=2.0)
+    large = Destination(
+        1, lambda now: 200.0, kind=0, listed=listed, counts=False, down=(6000.0, 11000.0), size=2.0
+    )
     seconds = Fleet(192, [large], seed=1).play(18_000.0).by_second
     sent = {s: sum(n for name, n in seconds.get((1, s), {}).items() if name != "in") for s in range(11, 18)}
     able = {s: large.capacity(s * 1000.0 + 500.0) for s in range(11, 18)}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -31,7 +31,9 @@
     st.tuples(st.just("list"), st.sampled_from(list(i.ListKind)),
               st.lists(st.tuples(st.integers(0, 8), st.sampled_from(list(i.Condition))), max_size=9)),
 )  # fmt: skip
-rounds = st.lists(st.tuples(st.sampled_from([5.0, 5.0, 100.0, 900.0]), st.lists(step, max_size=6)), max_size=60)
+rounds = st.lists(
+    st.tuples(st.sampled_from([5.0, 5.0, 100.0, 900.0]), st.lists(step, max_size=6)), max_size=60
+)
 
 
 class Watch:
@@ -63,7 +65,9 @@
             self.waits[key] = max(self.waits.get(key, 0.0), self.now + wait)
         if outcome is OUT.OK:
             self.open.pop(message, None)
-        return i.Result(message, number, endpoint, outcome, self.now - sent, closed, wait if outcome is OUT.FULL else 0)
+        return i.Result(
+            message, number, endpoint, outcome, self.now - sent, closed, wait if outcome is OUT.FULL else 0
+        )
 
     def event(self, what):
         if what[0] == "arrive":
@@ -88,7 +92,11 @@
                 entries = {n: c for n, c in entries.items() if c is not i.Condition.GONE}
                 self.listed = {n: i.Condition.GONE for n in self.listed}
             self.listed |= {n: c for n, c in entries.items() if n in self.listed or c is not i.Condition.GONE}
-            named = (i.Listed(n, e.destination, e.zone, e.kind, entries[n]) for n, e in ENDPOINTS.items() if n in entries)
+            named = (
+                i.Listed(n, e.destination, e.zone, e.kind, entries[n])
+                for n, e in ENDPOINTS.items()
+                if n in entries
+            )
             return [i.ListChange(what[1], tuple(named))]
         return []
 
@@ -127,7 +135,9 @@
                     if cls.in_order and arrival.key:
                         line = self.lines[arrival.key]
                         ahead = line[: line.index(message)]
-                        assert not any(m in self.open or any(m == o for o, _ in self.out) for m in ahead), "out of turn"
+                        assert not any(
+                            m in self.open or any(m == o for o, _ in self.out) for m in ahead
+                        ), "out of turn"
                         assert number or self.now >= self.rests.get(arrival.key, 0.0), "key at rest"
                     assert 0 < timeout <= arrival.deadline - self.now + self.s.answer_grace
                     self.tries[message] = number + 1
--- a/tests/test_same.py
+++ b/tests/test_same.py
@@ -43,7 +43,9 @@
 
     def listed(self, endpoint, condition=i.Condition.READY):
         dest = endpoint % self.dests
-        return i.Listed(endpoint, dest, endpoint // self.dests % 2, dest % 3, condition, 6.0 if dest % 2 else None)
+        return i.Listed(
+            endpoint, dest, endpoint // self.dests % 2, dest % 3, condition, 6.0 if dest % 2 else None
+        )
 
     def list_event(self):
         some = self.rng.sample(range(3 * self.dests), self.rng.choice([1, 3, 30]))
@@ -57,7 +59,9 @@
         dest = self.rng.randrange(self.dests) if self.rng.random() < 0.7 else 3
         due = self.now + CLASSES[cls].deadline * self.rng.choice([1.0, 1.0, 0.5])
         number = self.rng.getrandbits(40) * 1000 + self.ids % 1000
-        event = i.Arrival(number, cls, dest, due, self.rng.choice([0, 0, 1, 2, 3]), self.rng.choice([-1, 0, 1]))
+        event = i.Arrival(
+            number, cls, dest, due, self.rng.choice([0, 0, 1, 2, 3]), self.rng.choice([-1, 0, 1])
+        )
         self.arrivals[number] = event
         return event
 
@@ -66,7 +70,9 @@
         endpoint, sent = self.out.pop(attempt)
         outcome = self.rng.choice([o for o in OUT if o is not OUT.OK]) if self.rng.random() < bad else OUT.OK
         wait = self.rng.choice([0, 0, 300.0, 1900.0]) if outcome is OUT.FULL else 0.0
-        return i.Result(*attempt, endpoint, outcome, self.now - sent, outcome is OUT.OK, wait, (), self.rng.random() < 0.3)
+        return i.Result(
+            *attempt, endpoint, outcome, self.now - sent, outcome is OUT.OK, wait, (), self.rng.random() < 0.3
+        )
 
     def events(self, busy, bad):
         found = [self.arrival() for _ in range(self.rng.choice([0, 0, 1, busy]))]
@@ -107,7 +113,9 @@
         for n in range(rounds):
             phase = n // 120 % 5
             busy, bad = ((1, 0.05), (7, 0.3), (2, 0.95), (4, 0.3), (0, 0.1))[phase]
-            self.now += self.rng.choice([5.0, 5.0, 5.0, 40.0, 300.0]) if phase != 4 else self.rng.choice([5.0, 900.0])
+            self.now += (
+                self.rng.choice([5.0, 5.0, 5.0, 40.0, 300.0]) if phase != 4 else self.rng.choice([5.0, 900.0])
+            )
             self.round(self.events(busy, bad))
 
 
@@ -141,7 +149,9 @@
         back = []
         for n in range(40):
             arrival = world.arrival()
-            arrival = replace(arrival, deadline=arrival.deadline - 1500.0 * (n % 3))  # some are past their aims
+            arrival = replace(
+                arrival, deadline=arrival.deadline - 1500.0 * (n % 3)
+            )  # some are past their aims
             begun = n % 3 == 0
             back.append(i.Resumed(arrival, n % 4, world.now - 300.0 if n % 4 else float("inf"), n % 2, begun, n % 13 == 0,
                                   CLASSES[arrival.cls].effect, "all", 2500.0))  # fmt: skip
@@ -162,6 +172,8 @@
 def test_a_wrong_index_would_be_seen(monkeypatch):
     """The comparison itself: one key too many in the order of a lane, and it fails."""
     rank = policy.Backlog.best.__globals__["rank"]
-    monkeypatch.setitem(policy.Backlog.best.__globals__, "rank", lambda *a: (rank(*a)[0], *rank(*a)[2:1:-1], *rank(*a)[2:]))
+    monkeypatch.setitem(
+        policy.Backlog.best.__globals__, "rank", lambda *a: (rank(*a)[0], *rank(*a)[2:1:-1], *rank(*a)[2:])
+    )
     with pytest.raises(AssertionError):
         World(3).play(1200)
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -44,7 +44,9 @@
     ready = []
     for _ in range(6):
         ready = ready or selector.select(1.0)
-    assert [(found.fd, found.data, events) for found, events in ready] == [(left.fileno(), "data", selectors.EVENT_READ)]
+    assert [(found.fd, found.data, events) for found, events in ready] == [
+        (left.fileno(), "data", selectors.EVENT_READ)
+    ]
     selector.close()
 
 
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -138,7 +138,9 @@
     drive(story())
 
 
-def test_a_silent_destination_is_found_out_though_its_calls_are_called_off_before_they_connect(tmp_path, monkeypatch):
+def test_a_silent_destination_is_found_out_though_its_calls_are_called_off_before_they_connect(
+    tmp_path, monkeypatch
+):
     """Day rude+garble+fleet: calls took a second each to be called off, as long as a connection may take to fail.
 
     Which came first was chance; where it was the former, nothing was learnt, and a third of all slots went there.
@@ -146,7 +148,6 @@
     monkeypatch.setattr(policy, "TIMEOUT_FLOOR", 100.0)
 
     async def story():
-
         async def hangs(self, receiver):
             await asyncio.get_running_loop().create_future()
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -65,7 +65,11 @@
                 cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             )  # fmt: skip
             _, said = await done.communicate()
-            assert done.returncode == 1 and f"used by process {sidecar.process.pid}".encode() in said and b"Traceback" not in said
+            assert (
+                done.returncode == 1
+                and f"used by process {sidecar.process.pid}".encode() in said
+                and b"Traceback" not in said
+            )
             assert (await sidecar.status())["name"] == "app"
 
     drive(story())
@@ -81,7 +85,9 @@
             async with Sidecar(tmp_path, good) as sidecar, Client(sidecar.port) as client:
                 last = await sidecar.reload(good.replace('effect = "unsafe"', 'effect = "unsfae"'))
                 line = good[: good.index('effect = "unsafe"')].count("\n") + 1
-                assert last["result"] == "rejected" and f"app.toml:{line}:10: error[E108]" in last["details"][0]
+                assert (
+                    last["result"] == "rejected" and f"app.toml:{line}:10: error[E108]" in last["details"][0]
+                )
                 sidecar.file.unlink()
                 sidecar.process.send_signal(signal.SIGHUP)
                 told = await sidecar.until(lambda told: told["reload"]["rejected"] == 2)
@@ -109,7 +115,7 @@
         async with HttpPeer(ok) as receiver:
             good = text({"a": (1, ["127.0.0.1:1"])})
             async with Sidecar(tmp_path, good) as sidecar, Client(sidecar.port) as client:
-                edited = good.replace(find, to, 1).replace("127.0.0.1:1\"]", receiver.dial + '"]')
+                edited = good.replace(find, to, 1).replace('127.0.0.1:1"]', receiver.dial + '"]')
                 last = await sidecar.reload(edited)
                 assert last["result"] == "needs a start" and any(d.startswith(name) for d in last["details"])
                 assert await client.ask(put("one", dest=1, d=1500)) == "OK"
@@ -122,9 +128,14 @@
 def test_endpoints_are_added_drained_and_removed_by_edits(tmp_path):
     async def story():
         async with HttpPeer(ok) as one, HttpPeer(ok) as two:
-            async with Sidecar(tmp_path, text({"a": (1, [one.dial])})) as sidecar, Client(sidecar.port) as client:
+            async with (
+                Sidecar(tmp_path, text({"a": (1, [one.dial])})) as sidecar,
+                Client(sidecar.port) as client,
+            ):
                 drained = f'{{ address = "{one.dial}", state = "draining" }}'
-                for n, (dials, at) in enumerate([([one.dial], one), ([drained, two.dial], two), ([one.dial], one)]):
+                for n, (dials, at) in enumerate(
+                    [([one.dial], one), ([drained, two.dial], two), ([one.dial], one)]
+                ):
                     if n:
                         last = await sidecar.reload(text({"a": (1, dials)}))
                         assert last == last | {"result": "applied", "details": ["destination.a.endpoints"]}
@@ -159,6 +170,7 @@
 
     async def story():
         async with HttpPeer(ok) as one, HttpPeer(ok) as two:
+
             def watched(dial):
                 return text({"a": (1, [dial])}, more="reload_on_change = true")
 
@@ -200,7 +212,9 @@
             async with Sidecar(tmp_path, text(where)) as sidecar, Client(sidecar.port) as client:
                 assert await client.ask(put("one", dest=1)) == "OK"
                 await lost.wait()
-                assert (await sidecar.reload(text(where, changed("safe", 'effect = "unsafe"'))))["result"] == "applied"
+                assert (await sidecar.reload(text(where, changed("safe", 'effect = "unsafe"'))))[
+                    "result"
+                ] == "applied"
                 for writer in receiver.writers:
                     writer.transport.abort()  # the call breaks: it may have run
                 await sidecar.until(lambda told: not told["held"])
@@ -260,7 +274,9 @@
             async with Sidecar(tmp_path, text(where)) as sidecar, Client(sidecar.port) as client:
                 assert await client.ask(put("one", dest=1)) == "OK"
                 await came.wait()
-                assert (await sidecar.reload(text(where, changed("safe", 'effect = "unsafe"'))))["result"] == "applied"
+                assert (await sidecar.reload(text(where, changed("safe", 'effect = "unsafe"'))))[
+                    "result"
+                ] == "applied"
                 await sidecar.kill()
             async with Sidecar(tmp_path, text(where)) as sidecar:
                 await sidecar.until(lambda told: not told["held"])
@@ -292,13 +308,18 @@
                 else:
                     assert (await sidecar.reload(text({"c": both["c"]})))["result"] == "applied"
                     await sidecar.until(lambda told: told["held"] == 1 and not told["ends_waiting"])
-                    assert [end["message"] for end in sidecar.ends()] == ["held"]  # the call that is out goes on
+                    assert [end["message"] for end in sidecar.ends()] == [
+                        "held"
+                    ]  # the call that is out goes on
                     assert "destination 2" in await client.ask(put("late", dest=2))
                     for writer in receiver.writers:
                         writer.transport.abort()
                     await sidecar.until(lambda told: not told["held"])
             if restart:
-                async with Sidecar(tmp_path, text({"c": both["c"]})) as sidecar, Client(sidecar.port) as client:
+                async with (
+                    Sidecar(tmp_path, text({"c": both["c"]})) as sidecar,
+                    Client(sidecar.port) as client,
+                ):
                     await sidecar.until(lambda told: not told["held"])
                     assert await client.ask(put("new", dest=3)) == "OK"
                     assert call_id(await other.next()) == "new"
@@ -352,7 +373,10 @@
                 """Endpoints that come, drain and go; a destination, a class and a rate that change."""
                 dials = [peers[k].dial for k in range(3) if (n >> k) & 1] or [one.dial]
                 if n % 5 == 0:
-                    dials = [f'{{ address = "{peers[n % 3].dial}", state = "draining" }}', peers[(n + 1) % 3].dial]
+                    dials = [
+                        f'{{ address = "{peers[n % 3].dial}", state = "draining" }}',
+                        peers[(n + 1) % 3].dial,
+                    ]
                 extra = {"b": (2, [two.dial], f"{2000 + n}/s")} if n % 2 else {}
                 classes = CLASSES | ({"mail": 'effect = "safe"'} if n > 30 else {})
                 return text({"a": (1, dials, f"{2000 + n}/s")} | extra, classes)
@@ -408,7 +432,10 @@
                 await sidecar.until(lambda told: not told["held"])
                 await sidecar.kill()
             last = max((tmp_path / "state").glob("*.seg"))
-            assert records.scan(data := last.read_bytes(), records.read_head(data)).frames[-1].kind == records.Kind.OVER
+            assert (
+                records.scan(data := last.read_bytes(), records.read_head(data)).frames[-1].kind
+                == records.Kind.OVER
+            )
             last.write_bytes(data[:-20])
             async with Sidecar(tmp_path, where) as sidecar:
                 await sidecar.until(lambda told: not told["held"] and not told["ends_waiting"])
@@ -417,13 +444,17 @@
     drive(story())
 
 
-@pytest.mark.parametrize("more", [(), ("--front", "amqp", "--carrier", "amqp")], ids=["RESP and HTTP", "AMQP"])
+@pytest.mark.parametrize(
+    "more", [(), ("--front", "amqp", "--carrier", "amqp")], ids=["RESP and HTTP", "AMQP"]
+)
 def test_the_demo_ends_with_its_line_and_0(more):
     done = subprocess.run([sys.executable, "-B", "-m", "rainpier", "demo", "--messages", "300", *more], cwd=ROOT,
                           env=os.environ, capture_output=True, text=True, check=False, timeout=120)  # fmt: skip
     assert done.returncode == 0, done.stdout + done.stderr
     words = done.stdout.splitlines()[-1].split()
-    assert words[0::2][:3] == ["delivered", "refused", "failed"] and done.stdout.endswith("of 300, 0 twice, 0 out of order\n")
+    assert words[0::2][:3] == ["delivered", "refused", "failed"] and done.stdout.endswith(
+        "of 300, 0 twice, 0 out of order\n"
+    )
     assert int(words[1]) + int(words[3]) + int(words[5]) == 300 and int(words[1]) > 200
 
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -77,14 +77,19 @@
 
 def test_empty_batch_is_answered_with_an_empty_reply():
     sink = io.BytesIO()
-    assert simhost.serve(io.BytesIO(bytes.fromhex("000000010000001400000000" + "40c06e2000000000")), sink) == 0
+    assert (
+        simhost.serve(io.BytesIO(bytes.fromhex("000000010000001400000000" + "40c06e2000000000")), sink) == 0
+    )
     assert sink.getvalue() == bytes.fromhex("000000010000000c00000000")
 
 
 @pytest.mark.parametrize(
     ("action", "expected"),
     [
-        (i.Send(0x11E2C5D3A91C4, 0x3124A07, 80.0), "4000000018 00000003 00011e2c5d3a91c4 03124a07 4054000000000000"),
+        (
+            i.Send(0x11E2C5D3A91C4, 0x3124A07, 80.0),
+            "4000000018 00000003 00011e2c5d3a91c4 03124a07 4054000000000000",
+        ),
         (i.Refuse(5, 1000.0), "4100000014 00000003 0000000000000005 408f400000000000"),
         (i.Fail(5), "420000000c 00000003 0000000000000005"),
         (i.Cancel(5, 2), "430000000e 00000003 0000000000000005 0002"),
@@ -164,7 +169,11 @@
     first, second = rows(0, (70, 0, 0, 57, 1, 1.0, 0.0)), rows(0, (71, 0, 0, 57, 1, 1.0, 0.0))
     setup = frame(1, 10000.0, start(3), start(4), first, registry(3), second, registry(4))
     _, replies = serve(setup, frame(2, 10010.0, work(1, 3), work(2, 4)))
-    sends = {struct.unpack_from(">IQI", f)[0]: struct.unpack_from(">IQI", f)[2] for k, f in replies[1][1] if k == 64}
+    sends = {
+        struct.unpack_from(">IQI", f)[0]: struct.unpack_from(">IQI", f)[2]
+        for k, f in replies[1][1]
+        if k == 64
+    }
     assert sends == {3: 70, 4: 71}
 
 
@@ -210,7 +219,11 @@
 
 
 def test_settings_of_the_wire():
-    raw = SETUP | {"membership-mode": "subscribe", "weights": "rough", "rules": {"cold": 9.0, "turn-gap": 3.0}}
+    raw = SETUP | {
+        "membership-mode": "subscribe",
+        "weights": "rough",
+        "rules": {"cold": 9.0, "turn-gap": 3.0},
+    }
     read = simhost.settings(raw)
     assert read.must_ask and read.rates_rough and (read.cold, read.turn_gap) == (9.0, 3.0)
     assert read.slots == 8 and read.max_open == 100 and read.classes[0].effect is i.Effect.SAFE
--- a/tests/test_sink.py
+++ b/tests/test_sink.py
@@ -72,7 +72,9 @@
 
 def test_a_file_that_others_rename_or_remove_is_made_anew(tmp_path):
     async def work(sink, told):
-        for n, step in enumerate((lambda: None, lambda: os.replace(sink.path, tmp_path / "old"), lambda: sink.path.unlink())):
+        for n, step in enumerate(
+            (lambda: None, lambda: os.replace(sink.path, tmp_path / "old"), lambda: sink.path.unlink())
+        ):
             step()
             sink.add(entry(n))
             await until(lambda n=n: len(told) == n + 1)
@@ -136,7 +138,9 @@
     story(tmp_path, work, owed=["m1", "m2"])
 
 
-def test_part_of_a_batch_that_cannot_be_taken_back_spoils_no_line_and_is_not_told_twice(tmp_path, monkeypatch):
+def test_part_of_a_batch_that_cannot_be_taken_back_spoils_no_line_and_is_not_told_twice(
+    tmp_path, monkeypatch
+):
     """Guards against ends on a torn line, and twice in the file, where a write and the cut behind it both fail."""
     real, left = os.write, [1]
 
@@ -161,7 +165,9 @@
         for n in range(1, 4):
             sink.add(entry(n))
         await until(lambda: len(told) == 4)
-        whole = [json.loads(row)["message"] for row in sink.path.read_text().splitlines() if row.endswith("}")]
+        whole = [
+            json.loads(row)["message"] for row in sink.path.read_text().splitlines() if row.endswith("}")
+        ]
         assert sorted(whole) == ["m0", "m1", "m2", "m3"]
 
     story(tmp_path, work)
--- a/tests/test_starved.py
+++ b/tests/test_starved.py
@@ -36,7 +36,9 @@
     """Its pace is found by what passes, without any need: nothing of this is for it."""
     one = Fleet(senders, [Destination(1, lambda now: 40.0, demand=0.9)], seed=3)
     one.play(5000)
-    assert all(route.need == 0.0 for sender in one.senders for routes in sender.routes.values() for route in routes)
+    assert all(
+        route.need == 0.0 for sender in one.senders for routes in sender.routes.values() for route in routes
+    )
 
 
 def test_a_refused_message_gets_another_turn_within_its_life():
@@ -48,7 +50,9 @@
     first = sender.handle(0.0, [i.Arrival(1, 0, 1, 12000.0)])
     assert [a.message for a in first if isinstance(a, i.Send)] == [1]
     sender.handle(50.0, [i.Result(1, 0, 7, i.Outcome.FULL, 50.0)])
-    again = [at for at in range(60, 12000, 20) if any(isinstance(a, i.Send) for a in sender.handle(float(at), []))]
+    again = [
+        at for at in range(60, 12000, 20) if any(isinstance(a, i.Send) for a in sender.handle(float(at), []))
+    ]
     assert again and 3000 < again[0] < 6400  # none before
 
 
@@ -82,7 +86,9 @@
     sender.handle(0.0, [i.ListChange(i.ListKind.FULL, (i.Listed(7, 1, rate=4.0),))])
     sender.handle(0.0, [i.Arrival(1, 1, 1, 12000.0)])
     sender.handle(50.0, [i.Result(1, 0, 7, i.Outcome.FULL, 50.0)])
-    again = [at for at in range(60, 12000, 20) if any(isinstance(a, i.Send) for a in sender.handle(float(at), []))]
+    again = [
+        at for at in range(60, 12000, 20) if any(isinstance(a, i.Send) for a in sender.handle(float(at), []))
+    ]
     assert again[0] > 2500
     sender.handle(20_000.0, [i.Result(1, 1, 7, i.Outcome.OK, 50.0, True)])
     sender.handle(40_000.0, [i.Arrival(2, 0, 1, 40_400.0)])
--- a/tests/test_structures.py
+++ b/tests/test_structures.py
@@ -48,7 +48,9 @@
     assert len(schedule) == 50 and len(schedule.heap) <= 2 * 50 + SPARE
 
 
-LINES = st.tuples(st.integers(0, 8).map(float), st.sampled_from([0.0, 0.0, 0.25, 1.0, 3.0]), st.integers(0, 30).map(float))
+LINES = st.tuples(
+    st.integers(0, 8).map(float), st.sampled_from([0.0, 0.0, 0.25, 1.0, 3.0]), st.integers(0, 30).map(float)
+)
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("set"), st.integers(0, 40), LINES),
--- a/tests/test_unrecorded.py
+++ b/tests/test_unrecorded.py
@@ -43,7 +43,9 @@
             await clients.listen(("127.0.0.1", 0))
             async with Client(clients.port) as client:
                 sent = loop.time()
-                assert await client.ask(put("late", cls=cls, d=700, key="7" if cls == "keyed" else "0")) == "OK"
+                assert (
+                    await client.ask(put("late", cls=cls, d=700, key="7" if cls == "keyed" else "0")) == "OK"
+                )
                 await receiver.next()
                 on = failing(node, monkeypatch, error)
                 notice = await agent.notice()
--- a/tests/test_untried.py
+++ b/tests/test_untried.py
@@ -17,7 +17,9 @@
         for folder in folders:
             folder.mkdir()
         plays = [count(folder, name, 30, life=8000) for folder, name in zip(folders, CONDITIONS, strict=True)]
-        shares = {name: told.share for name, told in zip(CONDITIONS, await asyncio.gather(*plays), strict=True)}
+        shares = {
+            name: told.share for name, told in zip(CONDITIONS, await asyncio.gather(*plays), strict=True)
+        }
         assert all(share <= MOST for share in shares.values()), shares
         assert shares["well"] == shares["limited"] == shares["late list"] == 0
 
