Give the RESP connection a module of its own

Change: connection.py with one client's connection, and as a protocol what it needs of its server; server.py keeps who may connect and for how long. No behaviour changes; tests name the constants where they now stand.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -223,7 +223,7 @@
 
 @pytest.mark.parametrize("before", [b"", command("PING")])
 def test_half_a_request_is_not_waited_for_for_ever(monkeypatch, before):
-    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.3)
+    monkeypatch.setattr("rainpier.fronts.resp.connection.REQUEST_TIME", 0.3)
 
     async def story():
         async with serving() as (clients, taken), Client(clients.port) as client:
@@ -237,7 +237,7 @@
 
 
 def test_bytes_that_drip_in_win_no_time(monkeypatch):
-    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.5)
+    monkeypatch.setattr("rainpier.fronts.resp.connection.REQUEST_TIME", 0.5)
 
     async def story():
         async with serving() as (clients, taken), Client(clients.port) as client:
@@ -284,7 +284,7 @@
 
 
 def test_the_time_for_half_a_request_never_cuts_off_an_answer_that_is_open(monkeypatch):
-    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.1)
+    monkeypatch.setattr("rainpier.fronts.resp.connection.REQUEST_TIME", 0.1)
     monkeypatch.setattr("rainpier.fronts.resp.server.LOOK", 0.02)
 
     async def story():
@@ -471,7 +471,7 @@
 
 def test_connection_that_cannot_be_closed_in_order_holds_up_no_other(monkeypatch):
     """Guards against a periodic look that stops for good at one connection that its client has reset."""
-    monkeypatch.setattr("rainpier.fronts.resp.server.REQUEST_TIME", 0.3)
+    monkeypatch.setattr("rainpier.fronts.resp.connection.REQUEST_TIME", 0.3)
 
     async def story():
         clients = Clients(lambda handed: Taken(), 10)
