Look on at all AMQP connections where one of them fails

Callers would see: handshakes and heartbeats that never time out, for all AMQP clients, after one reset its connection. Cause: the same as in the RESP server: the periodic look armed its next timer behind a loop that any connection could end. Change: a failure is logged and the look goes on; ending a side of a connection that its peer has reset drops it (end_writing).

--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -8,7 +8,7 @@
 
 from ...amqp import connection as a
 from ...config.types import write_address
-from ...sockets import listening_socket
+from ...sockets import end_writing, listening_socket
 from ..resp.server import BACKLOG
 from .options import Options
 from .session import Desk, Session
@@ -84,7 +84,7 @@
             if over is not None and not over.ours:
                 self.transport.close()
             elif self.transport.can_write_eof():
-                self.transport.write_eof()
+                end_writing(self.transport)
         self.steer()
 
     def steer(self) -> None:
@@ -198,8 +198,11 @@
     def look(self) -> None:
         now, full = self.loop.time(), self.full()
         for connection in list(self.connections):
-            connection.look(now)
-            connection.tell_blocked(full)
+            try:
+                connection.look(now)
+                connection.tell_blocked(full)
+            except Exception:
+                log.exception("amqp: a connection could not be looked at")
         if now - self.swept > SWEEP:
             self.swept = now
             self.desk.queues.sweep(now)
--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -10,6 +10,7 @@
 
 from ...handed import Answered
 from ...observe.events import record
+from ...sockets import end_writing
 from .requests import RequestParser, error, frame, worded
 from .session import Session
 
@@ -230,11 +231,8 @@
             if not self.deaf or self.eof:
                 return self.transport.close()
             self.clients.lingering.add(self)
-            try:
-                self.transport.write_eof()
-            except OSError:  # the client has ended it already
-                return self.transport.abort()
-            if self.paused:
+            end_writing(self.transport)
+            if self.paused and not self.transport.is_closing():
                 self.paused = False
                 self.transport.resume_reading()
 
--- a/rainpier/sockets.py
+++ b/rainpier/sockets.py
@@ -5,6 +5,7 @@
 it reads as "would block", so that the loop tries again when it is next told that the socket is ready.
 """
 
+import asyncio
 import errno
 import socket
 from contextlib import suppress
@@ -91,5 +92,13 @@
     return sock
 
 
+def end_writing(transport: asyncio.Transport) -> None:
+    """Send the end of this side; drops the connection where its peer has ended it already."""
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
+
+
 def family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/tests/amqp/test_front.py
+++ b/tests/amqp/test_front.py
@@ -594,3 +594,25 @@
             await until(lambda: not station.front.connections)
 
     drive(story())
+
+
+def test_a_connection_that_cannot_be_looked_at_holds_up_no_other(tmp_path, monkeypatch):
+    """Guards against handshakes and heartbeats that are never ended, for all, after one connection failed."""
+
+    async def story():
+        monkeypatch.setattr("rainpier.fronts.amqp.server.HANDSHAKE", 0.3)
+        async with Station(tmp_path, text({"orders": ["127.0.0.1:1"]})) as station:
+            first = await asyncio.open_connection("127.0.0.1", station.port)
+            await until(lambda: station.front.connections)
+            (broken,) = station.front.connections
+
+            def fails(now):
+                raise OSError(107, "Transport endpoint is not connected")
+
+            monkeypatch.setattr(broken, "look", fails)
+            reader, writer = await asyncio.open_connection("127.0.0.1", station.port)
+            assert await asyncio.wait_for(reader.read(), 10) == b""  # its handshake did not come
+            for end in (first[1], writer):
+                end.close()
+
+    drive(story())
