Count the budget of recovering destinations in the fault runs

Change: a kind of run, recovery: one destination fails all calls for 1 to 2.5 s, returns cold and takes its listed rate; restarts and steps of the clock in the middle. A call counts once, however many messages travel in it, and a window counts where over two thirds of its calls came from senders that knew of the outage.

--- a/tests/standins/faults/peers.py
+++ b/tests/standins/faults/peers.py
@@ -13,7 +13,7 @@
 import hiredis
 from peers import HttpPeer, command, host
 
-from standins.faults.records import Call, Drain, Message, Notice, Records
+from standins.faults.records import CAPACITY, Call, Drain, Message, Notice, Records
 from standins.faults.sender import Sender
 
 ANSWER_TIME = 0.4  # s that a client waits for an answer
@@ -46,6 +46,7 @@
             outcome = self.choose(loop.time())
             for call in calls:
                 call.outcome = outcome
+            self.note_failure(calls, loop.time())
             if outcome == "hang":
                 await reader.read(1)  # until the sender gives it up
                 return
@@ -87,9 +88,24 @@
             Call(name, token, text, self.name, self.destination, begun, now) for name, token, text in rows
         ]
 
+    def note_failure(self, calls: list[Call], now: float) -> None:
+        """Whose call failed in the outage: from then on it knows of it."""
+        outage = self.records.outage
+        if outage is None or outage.destination != self.destination or not outage.since <= now < outage.until:
+            return
+        for call in calls:
+            if (message := self.records.messages.get(call.message)) is not None:
+                outage.failed.setdefault(message.sender, now)
+
     def choose(self, now: float) -> str:
         if now < self.wait_until:
             return "full"
+        outage = self.records.outage
+        if outage is not None and outage.destination == self.destination:
+            if outage.since <= now < outage.until:
+                return "reset"
+            if outage.full(now):
+                return "full"
         if self.draw.random() >= self.trouble:
             return "ok"
         return self.draw.choice(["error", "full", "wait", "reset", "reset", "hang"])
@@ -147,7 +163,7 @@
 def listed(receivers: list[Receiver]) -> list[dict]:
     kinds = ("single", "bulk")
     return [
-        host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=50.0)
+        host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=CAPACITY)
         for r in receivers
     ]
 
--- a/tests/standins/faults/plan.py
+++ b/tests/standins/faults/plan.py
@@ -5,7 +5,7 @@
 
 from standins.faults.shim import FOREVER, Rule
 
-KINDS = ("storage", "start", "torn", "sockets", "clock", "signals", "mixed")
+KINDS = ("storage", "start", "torn", "sockets", "clock", "signals", "recovery", "mixed")
 TRAFFIC = 6.0  # s for which clients hand messages in
 STORE_CALLS = ("open", "list", "read", "write", "truncate", "rename", "unlink", "sync", "lock", "close")
 STORE_ERRORS = ("EIO", "ENOSPC", "EDQUOT", "EROFS", "EMFILE", "EINTR")
@@ -50,6 +50,7 @@
     crowd: int  # idle connections that clients hold open
     rules: dict[int, list[Rule]] = field(default_factory=dict)  # by sender
     restarts: list[Restart] = field(default_factory=list)
+    outage: tuple[int, float, float] | None = None  # destination, from, to: s; it returns cold
     drain_at: float | None = None  # s, when one receiver of each destination drains
 
     def __str__(self) -> str:
@@ -67,6 +68,11 @@
     )  # fmt: skip
     kinds = chance.sample(KINDS[:-1], 3) if kind == "mixed" else [kind]
     plan.drain_at = chance.uniform(1.0, 5.0) if chance.random() < 0.5 else None
+    if "recovery" in kinds:
+        since = chance.uniform(0.5, 1.5)
+        plan.outage = (chance.choice([1, 2, 3]), since, since + chance.uniform(1.0, 2.5))
+        plan.gap = chance.uniform(0.02, 0.04)
+        plan.span = (2.0, 6.0)
     for n in range(plan.senders):
         plan.rules[n] = [rule for one in kinds for rule in rules_of(one, chance)]
         if "signals" in kinds or "start" in kinds or "torn" in kinds or chance.random() < 0.5:
@@ -100,7 +106,7 @@
         ]
     if kind == "sockets":
         return [sockets(chance) for _ in range(chance.randint(2, 5))]
-    if kind == "clock":
+    if kind in ("clock", "recovery"):
         steps = [f"{chance.choice([-1, 1]) * chance.choice(STEPS):+d}" for _ in range(chance.randint(1, 3))]
         return [Rule("clock", step, chance.uniform(0, 6000)) for step in steps]
     return []
--- a/tests/standins/faults/records.py
+++ b/tests/standins/faults/records.py
@@ -1,7 +1,9 @@
 """What clients, receivers and discovery saw in one run. Times are the loop's, s."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
+CAPACITY = 20.0  # calls a second that a destination takes when it is warm, as listed
 RAN = ("ok", "error", "reset", "hang")  # outcomes of a call behind which the message may have run
 
 
@@ -60,12 +62,34 @@
     receiver: str
 
 
+@dataclass
+class Outage:
+    """A destination that fails all calls from `since` to `until`, and is cold then."""
+
+    destination: int
+    since: float
+    until: float
+    taken: deque[float] = field(default_factory=deque)  # when it took a call, within the last second
+    failed: dict[str, float] = field(default_factory=dict)  # by sender: when a call of it first failed there
+
+    def full(self, now: float) -> bool:
+        """Whether the destination refuses a call now: it takes CAPACITY in any second."""
+        while self.taken and self.taken[0] <= now - 1:
+            self.taken.popleft()
+        if len(self.taken) >= CAPACITY:
+            return True
+        self.taken.append(now)
+        return False
+
+
 @dataclass
 class Records:
     messages: dict[str, Message] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
+    outage: Outage | None = None
+    worst_use: float = 0.0  # of the budget of the destination that was out
     lag: float = 0.0  # the longest time by which the observer itself was late, s
     unreadable: list[str] = field(default_factory=list)  # what came to a receiver and is no call
 
--- a/tests/standins/faults/run.py
+++ b/tests/standins/faults/run.py
@@ -11,10 +11,21 @@
 
 from standins.faults.peers import Client, Receiver, SenderAgent, listed
 from standins.faults.plan import START_TIME, TERM_TIME, TRAFFIC, Plan, Restart
-from standins.faults.records import Records
+from standins.faults.records import Outage, Records
 from standins.faults.sender import Sender
-from standins.faults.verdict import AFTER_START, WINDOW, Verdict
-
+from standins.faults.verdict import (
+    AFTER_START,
+    COLD_FROM,
+    COLD_TIME,
+    FALL_TIME,
+    OVERLOAD_FACTOR,
+    WINDOW,
+    Verdict,
+)
+
+RECOVERY_RULES = {
+    "overload-factor": OVERLOAD_FACTOR, "fall": FALL_TIME * 1000, "cold-from": COLD_FROM, "cold": COLD_TIME * 1000,
+}  # fmt: skip
 READY_TIME = 12.0  # s that a start may take, the faults of its plan included
 DESTINATIONS = (1, 2, 3)
 CLASSES = [cls | {"objective": 500.0, "hard-limit": 6000.0} for cls in SETTINGS["classes"]]
@@ -64,7 +75,13 @@
             agent.hosts = listed(self.receivers)
             self.agents.append(agent)
         self.began = loop.time()
-        settings = SETTINGS | {"classes": CLASSES, "fleet-size": self.plan.senders}
+        settings = SETTINGS | {
+            "classes": CLASSES, "fleet-size": self.plan.senders, "weights": "nominal",
+            "rules": SETTINGS["rules"] | RECOVERY_RULES,
+        }  # fmt: skip
+        if self.plan.outage is not None:
+            destination, since, until = self.plan.outage
+            self.records.outage = Outage(destination, self.began + since, self.began + until)
         limits = {"sockets": 160} if self.plan.crowd else {}
         for n, agent in enumerate(self.agents):
             sender = Sender(f"n{n}", self.folder / f"n{n}", agent, self.library, settings,
@@ -159,10 +176,11 @@
         messages = self.records.messages.values()
         told = {word: sum(m.answer == word for m in messages) for word in ("OK", "BUSY", "ERR", None)}
         struck = sum(sender.log.count(b"fault: ") for sender in self.senders)
+        cold = f", budget used {self.records.worst_use:.2f}" if self.records.outage else ""
         lives = sum(len(sender.lives) for sender in self.senders)
         return (f"{len(messages)} messages, {told['OK']} taken on, {told['BUSY']} busy, {told['ERR']} failed, "
                 f"{told[None]} unanswered, {len(self.records.calls)} calls, {len(self.records.notices)} notices, "
-                f"{lives} lives, {struck} calls failed, lag {self.records.lag * 1000:.0f} ms")  # fmt: skip
+                f"{lives} lives, {struck} calls failed, lag {self.records.lag * 1000:.0f} ms{cold}")  # fmt: skip
 
 
 async def play(plan: Plan, library: Path, logs: Path | None = None) -> tuple[list[str], str]:
--- a/tests/standins/faults/verdict.py
+++ b/tests/standins/faults/verdict.py
@@ -1,6 +1,6 @@
 """The rules, counted from a run's records. A finding is one sentence with the message's way through the run."""
 
-from standins.faults.records import RAN, Message, Records
+from standins.faults.records import CAPACITY, RAN, Message, Records
 from standins.faults.sender import Sender
 
 NOTICE_TIME = 0.3  # s after a message's time by which it has to be over
@@ -12,9 +12,19 @@
 WINDOW = 2.0  # s in which a keyed message may be repeated
 SIGNAL_TIME = 0.02  # s in which a signal that was sent ends a process
 UNTOLD_END = 0.5  # s after which the end of a process that nobody signalled is noticed at the latest
+OVERLOAD_FACTOR, FALL_TIME, COLD_FROM, COLD_TIME = 2.0, 1.5, 0.2, 8.0  # of the settings; times in s
+FEW_CALLS = 30  # under so many the budget has more slack for chance
 UNANSWERED_SPAN = 3.0  # s on end without any answer from a sender that is ready: it hangs
 
 
+def budget(since: float) -> float:
+    """Calls that a cold destination takes in FALL_TIME from so many s after its return on."""
+    middle = max(0.0, since + FALL_TIME / 2)
+    share = min(1.0, COLD_FROM + (1 - COLD_FROM) * middle / COLD_TIME)
+    allowed = OVERLOAD_FACTOR * CAPACITY * share * FALL_TIME
+    return allowed + (3 if allowed < FEW_CALLS else 2) * (allowed**0.5 + 1)
+
+
 class Verdict:
     def __init__(self, records: Records, senders: list[Sender]) -> None:
         self.records = records
@@ -41,6 +51,7 @@
         self.order()
         self.drains()
         self.waits()
+        self.recovery()
         self.hangs()
         return self.findings
 
@@ -204,6 +215,32 @@
     def restarted(self, sender: str, since: float, until: float) -> bool:
         return any(since < life.started < until for life in self.senders[sender].lives)
 
+    def recovery(self) -> None:
+        """A destination that was out gets no more than its budget in any FALL_TIME, from those who knew of it."""
+        outage = self.records.outage
+        if outage is None:
+            return
+        # A call counts once, however many messages travel in it.
+        calls = {
+            (call.receiver, call.read): (call.read, self.records.messages[call.message].sender)
+            for call in self.records.calls
+            if call.destination == outage.destination and call.read >= outage.until
+            and call.message in self.records.messages
+        }  # fmt: skip
+        arrived = sorted(calls.values())
+        for n, (since, _) in enumerate(arrived):
+            within = [sender for at, sender in arrived[n:] if at < since + FALL_TIME]
+            knew = sum(outage.failed.get(sender, since) < since - self.slack for sender in within)
+            most = budget(since - outage.until)
+            self.records.worst_use = max(self.records.worst_use, len(within) / most)
+            if len(within) > most and knew > 2 / 3 * len(within):
+                told = f"{len(within)} calls in {FALL_TIME} s, {most:.1f} allowed, {knew} by those who knew"
+                self.find(
+                    "failback",
+                    f"destination {outage.destination}, {since - outage.until:.2f} s after: {told}",
+                )
+                return
+
     def hangs(self) -> None:
         """A sender that is ready answers somebody within UNANSWERED_SPAN."""
         for sender in self.senders.values():
