Take a write of nothing for a failure

Callers would see: a process that hangs, and answers nobody. Cause: the store and the file of ends repeat a short write until all is written; a write() that returns 0 repeats for ever. Evidence: by review of the loops; without the change the new test does not end (ended by its time limit). Change: such a write counts as EIO, and is taken back and refused like any other.

--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import errno
 import json
 import logging
 import os
@@ -136,7 +137,9 @@
         data = b"\n" * torn + data
         try:
             while data:
-                data = data[os.write(self.file, data) :]
+                if not (size := os.write(self.file, data)):
+                    raise OSError(errno.EIO, "nothing was written")
+                data = data[size:]
         except OSError:
             self.torn = self.unsure = True  # until the part that was written is taken back
             os.ftruncate(self.file, size)
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -377,9 +377,12 @@
 
     def write_all(self, handle: int, data: bytes) -> None:
         """OSError where a part of it did not get there."""
-        written = self.files.append(handle, data)
+        written = 0
         while written < len(data):
-            written += self.files.append(handle, data[written:])
+            size = self.files.append(handle, data[written:] if written else data)
+            if not size:
+                raise OSError(errno.EIO, "nothing was written")
+            written += size
 
     def write(self, records: list[tuple[int, bytes]], must: bool = False) -> bool:
         """Append these together. False: nothing of them counts. OSErrors are logged here."""
--- a/tests/store/test_close.py
+++ b/tests/store/test_close.py
@@ -1,9 +1,10 @@
-"""A close that fails: on Linux the descriptor is gone whatever close() returns."""
+"""Calls of the folder that end in an odd way: a close that fails, a write of nothing."""
 
 import errno
 import os
 
 from rainpier.store.files import Folder
+from rainpier.store.records import KEY, Kind
 from rainpier.store.store import Store
 
 from .plays import DISK, START, Play
@@ -52,3 +53,13 @@
     again = Store(Folder(tmp_path), DISK, play.now)
     assert again.entries == play.store.entries
     again.close()
+
+
+def test_write_of_nothing_is_a_failure_and_not_repeated_for_ever(tmp_path, monkeypatch):
+    """Guards against a process that hangs in a loop of writes that write nothing."""
+    store = Store(Folder(tmp_path), DISK, START)
+    monkeypatch.setattr(os, "write", lambda handle, data: 0)
+    assert not store.put([(Kind.NEXT, KEY.pack(7))])
+    monkeypatch.undo()
+    assert store.put([(Kind.NEXT, KEY.pack(8))])
+    store.close()
