--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -8,6 +8,7 @@
 from standins.faults.shim import build
 
 SEEDS = (2, 5)
+AT_ONCE = 4  # runs
 
 
 @pytest.fixture(scope="module")
@@ -21,7 +22,7 @@
 
     async def all_kinds():
         plans = [draw(seed, kind) for kind in KINDS]
-        free = asyncio.Semaphore(3)
+        free = asyncio.Semaphore(AT_ONCE)
 
         async def one(plan):
             async with free:
