Leave no traceback behind where the event loop's descriptors can't be had at a start

Operators would see: a traceback ("Exception ignored in BaseEventLoop.__del__") in the log of a start that goes on and succeeds. Cause: a loop that is left half made because socketpair() failed is closed when it is collected, and has nothing to close. Change: such a loop's close() does nothing; its selector is closed by make_loop, as before. Result: the socketpair and epoll cases of test_start.py pass.

--- a/rainpier/startup.py
+++ b/rainpier/startup.py
@@ -63,11 +63,24 @@
     raise Stopped(step)
 
 
+class EventLoop(asyncio.SelectorEventLoop):
+    """An event loop that may be left half made, where its descriptors can't be had."""
+
+    def __init__(self, selector: RetryingSelector) -> None:
+        self.made = False
+        super().__init__(selector)
+        self.made = True
+
+    def close(self) -> None:
+        if self.made:
+            super().close()
+
+
 def make_loop() -> asyncio.AbstractEventLoop:
     """OSError, with nothing left open."""
     selector = RetryingSelector()
     try:
-        return asyncio.SelectorEventLoop(selector)
+        return EventLoop(selector)
     except OSError:
         selector.close()
         raise
--- a/tests/faults/test_start.py
+++ b/tests/faults/test_start.py
@@ -46,6 +46,8 @@
             return f"{call} {error} {most} times: {failure}"
         finally:
             await sender.kill()
+        if sender.told_of("Traceback"):
+            return sender.log.decode()
         return "" if sender.told_of("fault: ") else f"{call} {error}: no call was made to fail"
 
 
