Play the fault runs on a small disk, so that segments begin and go while calls fail

Need: on 3 MB the store of a run of six seconds hardly ever began a second segment, and never compacted. Change: the senders of the fault runs have half a megabyte.

--- a/tests/standins/faults/run.py
+++ b/tests/standins/faults/run.py
@@ -28,6 +28,7 @@
 }  # fmt: skip
 READY_TIME = 12.0  # s that a start may take, the faults of its plan included
 DESTINATIONS = (1, 2, 3)
+DISK = 0.5  # MB
 CLASSES = [cls | {"objective": 500.0, "hard-limit": 6000.0} for cls in SETTINGS["classes"]]
 CLASSES[1] = CLASSES[1] | {"repeat-window": WINDOW * 1000}
 
@@ -82,7 +83,8 @@
         if self.plan.outage is not None:
             destination, since, until = self.plan.outage
             self.records.outage = Outage(destination, self.began + since, self.began + until)
-        limits = {"sockets": 160} if self.plan.crowd else {}
+        # On a small disk the store begins and compacts segments all the time, also while calls fail.
+        limits = {"disk_mb": DISK} | ({"sockets": 160} if self.plan.crowd else {})
         for n, agent in enumerate(self.agents):
             sender = Sender(f"n{n}", self.folder / f"n{n}", agent, self.library, settings,
                             self.plan.rules.get(n, []), self.plan.seed, self.began, limits)  # fmt: skip
