--- a/tests/standins/faults/shim.c
+++ b/tests/standins/faults/shim.c
@@ -24,6 +24,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/file.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -105,6 +106,7 @@
     const char *name = getenv("FAULT_PLAN"), *seed = getenv("FAULT_SEED");
     char line[256];
     FILE *plan;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* no sender outlives a run that is ended from outside */
     paths = getenv("FAULT_PATHS");
     if (seed)
         chance_state ^= strtoull(seed, NULL, 10) * 2654435761ULL + (unsigned long long)getpid();
