Wait for an address longer than for a folder that another process holds

Cause: a folder's lock ends with its owner, while an address may come up late; both were waited for 5 s, and no test held either. Change: 20 s for an address. The start on a folder that a live process holds, and one that comes free meanwhile, has a test.

--- a/rainpier/startup.py
+++ b/rainpier/startup.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -19,7 +20,8 @@
 )
 # Another process has it, maybe one that is just ending: it is waited for, but not for ever.
 CONTENDED = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
-CONTENDED_PATIENCE = 5.0  # s
+FOLDER_PATIENCE = 5.0  # s: the lock ends with its owner
+ADDRESS_PATIENCE = 20.0  # s: an address may also be late in coming up
 
 
 class Stopped(Exception):
@@ -48,13 +50,13 @@
             return await run()
         except Unavailable as error:
             failure: Exception = error
-            contended = isinstance(error, Contended)
+            patience = FOLDER_PATIENCE if isinstance(error, Contended) else math.inf
         except OSError as error:
             if not may_pass(error):
                 raise
             failure = error
-            contended = error.errno in CONTENDED
-        if contended and loop.time() - began > CONTENDED_PATIENCE:
+            patience = ADDRESS_PATIENCE if error.errno in CONTENDED else math.inf
+        if loop.time() - began > patience:
             raise failure.__cause__ or failure
         if loop.time() - logged >= LOG_INTERVAL:
             logged = loop.time()
--- a/tests/faults/test_start.py
+++ b/tests/faults/test_start.py
@@ -113,3 +113,27 @@
             assert sender.life.status == 0 and sender.told_of("stopped: 0 messages stay"), sender.log.decode()
 
     drive(story())
+
+
+def test_folder_that_a_live_process_holds_ends_a_start_and_one_that_comes_free_does_not(tmp_path, library):
+    """Guards against two processes on one folder, and against an exit because the last one is just ending."""
+
+    async def story():
+        async with Agent() as agent:
+            agent.hosts = [host("r1", "127.0.0.1:1")]
+            first = Sender("n0", tmp_path / "first", agent, library, SETTINGS)
+            second = Sender("n0", tmp_path / "second", agent, library, SETTINGS)
+            second.state = first.state
+            await first.start()
+            assert await first.until_ready(PATIENCE)
+            await second.start()
+            await asyncio.wait_for(second.reading, 2 * PATIENCE)
+            assert second.life.status == 2 and second.told_of("is used by process"), second.log.decode()
+            await second.start()
+            await asyncio.sleep(1)
+            assert second.alive
+            await first.kill()
+            assert await second.until_ready(PATIENCE), second.log.decode()
+            await second.kill()
+
+    drive(story())
