Reserve the ports of the fault runs' senders, also between two of their processes

Cause: a port found free was given back before the sender listened there, and between its two processes. Change: each sender's port is held by a bound socket that does not listen.

--- a/tests/standins/faults/sender.py
+++ b/tests/standins/faults/sender.py
@@ -34,10 +34,12 @@
         return min(times, default=None)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port() -> socket.socket:
+    """A socket bound to a free port: nobody else gets it by chance, and a sender can still listen there."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    return holder
 
 
 @dataclass
@@ -58,7 +60,8 @@
     may_die: bool = False  # the plan kills it within a write
 
     def __post_init__(self) -> None:
-        self.port = free_port()
+        self.reserved = reserve_port()  # for as long as this object lives, also between two processes
+        self.port = self.reserved.getsockname()[1]
         self.state = self.folder / "state"
         self.state.mkdir(parents=True, exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
