Divide the HTTP connection into exchange, connection and client

Cause: one module of 289 lines held the reading of an answer, the connection and the client of discovery; the incident needs changes in each. Change: three modules with one job each, text moved as it was; no behaviour changes.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -1,126 +1,17 @@
-"""HTTP/1.1 on one kept connection at a time: httptools on an asyncio protocol."""
+"""HTTP/1.1 on one kept connection: an asyncio protocol that carries one exchange at a time."""
 
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-
-import httptools
 
 from ...sockets import stream_socket
+from .exchange import Answer, Exchange
 
-MAX_HEAD = 16384  # bytes before an answer's body, with all 1xx heads ahead of it
 REST = 0.5  # s from an answer's first byte to its last: what takes longer is not going to end
 READ = 65536  # bytes of one read
-UNREADABLE = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 INCOMING = memoryview(bytearray(READ))  # each read is taken up before the next one begins
 
 
-class Spoilt(Exception):
-    """An answer that can't be read, does not end, or is longer than anything that is expected."""
-
-
-BROKEN = (OSError, EOFError, Spoilt)  # what a connection fails with
-
-
-@dataclass(slots=True)
-class Answer:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class Exchange:
-    """One answer as it comes; the parser calls it back."""
-
-    def __init__(self, most: int, rest: float) -> None:
-        self.most, self.rest = most, rest
-        self.parser = httptools.HttpResponseParser(self)
-        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.answer.add_done_callback(lambda f: f.cancelled() or f.exception())  # others may fail first
-        self.headers: dict[str, str] = {}
-        self.body = bytearray()
-        self.head = 0  # bytes until the head was whole
-        self.in_body = self.reusable = self.more = False
-        self.timer: asyncio.TimerHandle | None = None
-
-    @property
-    def status(self) -> int:
-        """As far as it was read: also of a head that is spoilt behind its first line."""
-        return self.parser.get_status_code()
-
-    # --- the parser's side ---
-
-    def on_message_begin(self) -> None:
-        self.more = self.answer.done()
-        if not self.more:
-            self.headers = {}
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.answer.done():
-            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        if self.answer.done() or self.status < 200:
-            return
-        self.in_body = True
-        # Guards the memory: what is announced too long is refused before it comes.
-        length = self.headers.get("content-length", "0")
-        if not length.isdigit() or int(length) > self.most:
-            self.fail(Spoilt(f"answer of {length[:20]} bytes, {self.most} at most"))
-
-    def on_body(self, body: bytes) -> None:
-        if not self.answer.done():
-            self.body += body
-            if len(self.body) > self.most:
-                self.fail(Spoilt(f"answer longer than {self.most} bytes"))
-
-    def on_message_complete(self) -> None:
-        if self.in_body and not self.answer.done():
-            self.reusable = self.parser.should_keep_alive()
-            self.end()
-
-    # --- the connection's side ---
-
-    def feed(self, data: bytes) -> None:
-        if self.answer.done():  # a second copy, or noise: it belongs to nothing
-            self.more = True
-            return
-        try:
-            self.parser.feed_data(data)
-        except UNREADABLE as error:
-            self.more = True
-            self.fail(Spoilt(str(error)))
-        if self.answer.done():
-            return
-        self.head += 0 if self.in_body else len(data)
-        if self.head > MAX_HEAD:
-            self.fail(Spoilt("a head without end"))
-        elif self.timer is None:
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(self.rest, self.fail, Spoilt("an answer without end"))
-
-    def eof(self) -> None:
-        framed = {"content-length", "transfer-encoding"} & self.headers.keys()
-        self.end() if self.in_body and not framed else self.fail(EOFError("connection closed"))
-
-    def end(self) -> None:
-        self.stop_timer()
-        if not self.answer.done():
-            self.answer.set_result(Answer(self.status, self.headers, bytes(self.body)))
-
-    def fail(self, error: Exception) -> None:
-        """What came after a whole answer spoils no answer."""
-        self.stop_timer()
-        if not self.answer.done():
-            self.answer.set_exception(error)
-
-    def stop_timer(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-
 class Connection(asyncio.BufferedProtocol):
     """One connection, which carries one exchange at a time."""
 
@@ -241,49 +132,3 @@
         if self.transport is not None and not self.closed:
             self.closed = True
             self.transport.abort()
-
-
-def request(method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
-    """The bytes of a request; its values are visible ASCII, which their readers see to."""
-    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
-    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode("latin-1") + body
-
-
-class Client:
-    """Requests to one address, one after another, each bounded in time."""
-
-    def __init__(self, address: tuple[str, int], most: int) -> None:
-        self.address, self.most, self.connection = address, most, None
-
-    def drop(self, _: Connection | None = None) -> None:
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
-
-    async def request(
-        self, method: str, target: str, body: bytes, timeout: float, rest: float | None = None
-    ) -> Answer:
-        """Never sent twice by itself; any failure closes the connection.
-
-        `rest`: s for the connection to come up, and for an answer from its first byte to its last; only what
-        lies between may take as long as `timeout`.
-        """
-        rest = timeout if rest is None else rest
-        kept = False
-        try:
-            async with asyncio.timeout(timeout):
-                if self.connection is not None and not self.connection.unpark():
-                    self.drop()
-                if self.connection is None:
-                    async with asyncio.timeout(rest):
-                        self.connection = await Connection.open(self.address)
-                host = ("Host", "{}:{}".format(*self.address))
-                await self.connection.send(request(method, target, [host], body), self.most, rest)
-                answer = await self.connection.answer()
-                kept = self.connection.renew()
-                return answer
-        finally:
-            if kept and self.connection is not None:
-                self.connection.park(self.drop)
-            else:
-                self.drop()
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -14,7 +14,8 @@
 from ...attempt.table import Attempt, Event
 from ...interface import Outcome
 from ...store.entry import Entry
-from .connection import BROKEN, Answer, Connection, Spoilt, request
+from .connection import Connection
+from .exchange import BROKEN, Answer, Spoilt, request
 
 log = logging.getLogger(__name__)
 WHOLE = {200: Outcome.OK, 500: Outcome.ERROR, 429: Outcome.FULL, 503: Outcome.FULL,
--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -6,7 +6,8 @@
 import math
 import random
 
-from ..carriers.http.connection import BROKEN, Client
+from ..carriers.http.client import Client
+from ..carriers.http.exchange import BROKEN
 from ..interface import Condition, ListKind
 from ..tasks import keep
 from .source import Host, Told
--- a/rainpier/sinks/notices.py
+++ b/rainpier/sinks/notices.py
@@ -3,7 +3,8 @@
 import json
 import logging
 
-from ..carriers.http.connection import BROKEN, Client
+from ..carriers.http.client import Client
+from ..carriers.http.exchange import BROKEN
 from ..store.entry import Entry
 from .sink import Sink, notice
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import pytest
 from peers import host
 
-from rainpier.carriers.http.connection import Answer
+from rainpier.carriers.http.exchange import Answer
 from rainpier.membership import platform
 
 LIST = json.dumps({"seq": 7, "whole": False, "hosts": []}).encode()
