Log why a connection to an endpoint carries no further call, and which calls it carried

Idle connections get a module of their own, with the text that was in receivers.py. Which connections are kept does not change.

--- a/rainpier/carriers/http/client.py
+++ b/rainpier/carriers/http/client.py
@@ -37,7 +37,7 @@
                 host = ("Host", "{}:{}".format(*self.address))
                 await self.connection.send(request(method, target, [host], body), self.most, rest)
                 answer = await self.connection.answer()
-                kept = self.connection.renew()
+                kept = self.connection.renew() is None
                 return answer
         finally:
             if kept and self.connection is not None:
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -1,8 +1,11 @@
 """HTTP/1.1 on one kept connection: an asyncio protocol that carries one exchange at a time."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
+from enum import Enum
+from itertools import count
 
 from ...sockets import stream_socket
 from .exchange import Answer, Exchange
@@ -12,11 +15,28 @@
 INCOMING = memoryview(bytearray(READ))  # each read is taken up before the next one begins
 
 
+class CloseReason(Enum):
+    """Why a connection carries no further exchange; the values are the words of the log records."""
+
+    UNSOLICITED = "unsolicited_bytes"  # the peer sent more than one answer for each request
+    CLOSED_BY_PEER = "closed_by_peer"
+    NOT_PERSISTENT = "not_persistent"  # the answer says that the connection ends with it
+    NO_ANSWER = "no_answer"  # its exchange was given up, broke off or can't be read
+    IDLE_TOO_LONG = "idle_too_long"
+    RELEASED = "released"  # its endpoint drains, moved or failed, or the policy wants it closed
+    DESCRIPTORS = "descriptor_limit"
+
+
 class Connection(asyncio.BufferedProtocol):
     """One connection, which carries one exchange at a time."""
 
+    numbers = count(1)
+
     def __init__(self, sock: socket.socket) -> None:
+        self.number = next(self.numbers)  # in this process, for the log
         self.sock = sock
+        self.unsolicited = False  # a byte came that belongs to no exchange
+        self.answered_at = -math.inf  # loop time, s, at which its last whole answer was taken up
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.written: asyncio.Future[None] | None = None  # while bytes wait to be written
@@ -24,6 +44,7 @@
         self.lost: Callable[[Connection], None] | None = None  # told while it is parked
         self.parked_at = 0.0
         self.uses = 0  # exchanges begun
+        self.carried: tuple[str, ...] = ()  # the ids of what it carried last, for the log
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> "Connection":
@@ -48,7 +69,8 @@
         return INCOMING
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.lost is not None:  # a byte that nobody asked for
+        if self.lost is not None:
+            self.unsolicited = True
             self.lost(self)
         elif self.exchange is not None and not self.closed:
             self.exchange.feed(bytes(INCOMING[:nbytes]))
@@ -97,15 +119,28 @@
 
     async def answer(self) -> Answer:
         assert self.exchange is not None
-        return await self.exchange.answer
+        answer = await self.exchange.answer
+        self.answered_at = asyncio.get_running_loop().time()
+        return answer
 
-    def renew(self) -> bool:
-        """Whether it can carry another exchange."""
+    def renew(self) -> CloseReason | None:
+        """End the exchange. Why the connection can't carry another one; None: it can."""
         exchange, self.exchange = self.exchange, None
         if exchange is None:  # nothing was sent
-            return not self.closed and not self.ended
+            return CloseReason.CLOSED_BY_PEER if self.closed or self.ended else None
         exchange.stop_timer()
-        return exchange.reusable and not exchange.more and not self.closed and not self.ended
+        if exchange.more:
+            self.unsolicited = True
+        return self.unfit(exchange)
+
+    def unfit(self, exchange: Exchange) -> CloseReason | None:
+        if not exchange.answered:
+            return CloseReason.NO_ANSWER
+        if self.unsolicited:
+            return CloseReason.UNSOLICITED
+        if not exchange.reusable:
+            return CloseReason.NOT_PERSISTENT
+        return CloseReason.CLOSED_BY_PEER if self.closed or self.ended else None
 
     def park(self, lost: Callable[["Connection"], None]) -> None:
         """Idle from now on: `lost` is told when it ends, or when a byte comes that nobody asked for."""
@@ -116,12 +151,17 @@
         self.lost = None
         if self.closed or self.ended or self.transport is None or self.transport.is_closing():
             return False
-        try:  # guards against an end, or bytes, that have come and were not read yet
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return self.quiet()
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that was not read yet: neither bytes nor the connection's end."""
+        try:
+            waiting = self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
-            pass
+            return False
+        self.unsolicited = self.unsolicited or bool(waiting)
         return False
 
     def close(self) -> None:
--- a/rainpier/carriers/http/exchange.py
+++ b/rainpier/carriers/http/exchange.py
@@ -42,6 +42,11 @@
         """As far as it was read: also of a head that is spoilt behind its first line."""
         return self.parser.get_status_code()
 
+    @property
+    def answered(self) -> bool:
+        """Whether a whole answer came."""
+        return self.answer.done() and not self.answer.cancelled() and self.answer.exception() is None
+
     # --- the parser's side ---
 
     def on_message_begin(self) -> None:
--- /dev/null
+++ b/rainpier/carriers/http/idle.py
@@ -0,0 +1,92 @@
+"""Idle connections to endpoints: which one is used again, and when they are closed."""
+
+import asyncio
+import logging
+from typing import Protocol
+
+from ...observe.events import record
+from .connection import CloseReason, Connection
+
+
+class Endpoint(Protocol):
+    """What owns idle connections."""
+
+    host: str
+    idle: list[Connection] | None  # the one used last is last; None until there is one
+
+
+class IdleConnections:
+    """The idle connections of all endpoints, each of which is closed once it is too old.
+
+    `keep_alive`: s after which a peer closes an idle connection, less a margin.
+    """
+
+    def __init__(self, keep_alive: float) -> None:
+        self.keep_alive = keep_alive
+        self.loop = asyncio.get_running_loop()
+        self.owners: dict[Connection, Endpoint] = {}  # the oldest first
+
+    def __len__(self) -> int:
+        return len(self.owners)
+
+    def keep(self, owner: Endpoint, connection: Connection) -> None:
+        connection.park(self.on_lost)
+        if owner.idle is None:
+            owner.idle = []
+        owner.idle.append(connection)
+        self.owners[connection] = owner
+
+    def take(self, owner: Endpoint) -> Connection | None:
+        """The connection that was used last, since the others may grow old and close; None: there is none."""
+        oldest = self.loop.time() - self.keep_alive
+        while owner.idle:
+            connection = owner.idle.pop()
+            del self.owners[connection]
+            if connection.unpark() and connection.parked_at > oldest:
+                return connection
+            aged = connection.parked_at <= oldest
+            reason = CloseReason.IDLE_TOO_LONG if aged else CloseReason.CLOSED_BY_PEER
+            close(owner, connection, CloseReason.UNSOLICITED if connection.unsolicited else reason)
+        return None
+
+    def on_lost(self, connection: Connection) -> None:
+        """An idle connection ended, or its peer sent what nobody asked for."""
+        unsolicited = connection.unsolicited
+        self.drop(connection, CloseReason.UNSOLICITED if unsolicited else CloseReason.CLOSED_BY_PEER)
+
+    def drop(self, connection: Connection, reason: CloseReason) -> None:
+        owner = self.owners.pop(connection, None)
+        if owner is None:
+            return
+        if owner.idle:
+            owner.idle.remove(connection)
+        close(owner, connection, reason)
+
+    def drop_oldest(self) -> None:
+        self.drop(next(iter(self.owners)), CloseReason.DESCRIPTORS)
+
+    def drop_all(self, owner: Endpoint, reason: CloseReason) -> None:
+        while owner.idle:
+            self.drop(owner.idle[-1], reason)
+
+    def drop_aged(self) -> None:
+        oldest = self.loop.time() - self.keep_alive
+        for connection in list(self.owners):
+            if connection.parked_at > oldest:
+                break
+            self.drop(connection, CloseReason.IDLE_TOO_LONG)
+
+
+def close(owner: Endpoint, connection: Connection, reason: CloseReason) -> None:
+    """Close a connection, and say why. Unsolicited bytes are logged with the call that came before them.
+
+    The answer of that call, or of one before it on the same connection, may have been another call's.
+    """
+    told = {"endpoint": owner.host, "connection": connection.number, "use": connection.uses}
+    level = logging.DEBUG
+    if reason is CloseReason.UNSOLICITED:
+        level = logging.WARNING
+        since = (asyncio.get_running_loop().time() - connection.answered_at) * 1000
+        told |= {"since_answer_ms": f"{since:.1f}", "last_call": ",".join(connection.carried)}
+    record("connection_closed", reason.value, level=level, **told)
+    connection.close()
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -14,8 +14,10 @@
 from ...attempt.table import Attempt, Event
 from ...interface import Outcome
 from ...store.entry import Entry
-from .connection import Connection
+from .connection import CloseReason, Connection
 from .exchange import BROKEN, Answer, Spoilt, request
+from .idle import IdleConnections
+from .idle import close as close_connection
 
 log = logging.getLogger(__name__)
 WHOLE = {200: Outcome.OK, 500: Outcome.ERROR, 429: Outcome.FULL, 503: Outcome.FULL,
@@ -77,7 +79,12 @@
     task: asyncio.Task | None = None
     attempt: Attempt = field(default_factory=Attempt)
     open: bool = True
-    uses: int = 0  # of the connection that it travels on, this one included
+    connection: int = 0  # the number of the one that it travels on, and its uses, this one included
+    uses: int = 0
+
+    def names(self) -> str:
+        """The ids of its messages, for the log."""
+        return ",".join(entry.id for entry in self.entries)
 
 
 @dataclass(slots=True)
@@ -184,9 +191,8 @@
         self.early: Early = lambda call, entry, outcome: None
         self.calls: set[Call] = set()
         self.listed: dict[int, Receiver] = {}
-        self.parked: dict[Connection, Receiver] = {}  # all idle connections, the oldest first
-        self.span = settings.keep_alive / 1000 * IDLE_SHARE
-        self.timer = self.loop.call_later(min(LOOK, self.span / 4), self.look)
+        self.idle = IdleConnections(settings.keep_alive / 1000 * IDLE_SHARE)
+        self.look()
 
     def update(self, listed: i.Listed, host: str, address: tuple[str, int]) -> None:
         """Take over what the list says of a receiver, now."""
@@ -244,7 +250,8 @@
             async with asyncio.timeout_at(call.until):
                 connection = await self.connect(call.receiver)
                 if await leave(call, self.may_write):
-                    call.uses = connection.uses + 1
+                    call.connection, call.uses = connection.number, connection.uses + 1
+                    connection.carried = tuple(entry.id for entry in call.entries)
                     await connection.send(self.request(call), self.most_answer(call))
                     call.attempt.feed(Event.SENT)
                     ending = read_ending(call, await connection.answer(), self.s.report_fields)
@@ -300,53 +307,35 @@
         self.calls.discard(call)
         call.receiver.calls -= 1
         if connection is not None:
-            if connection.renew():
-                self.keep(call.receiver, connection)
-            else:
-                connection.close()
+            self.release(call.receiver, connection)
         self.ended(call, ending)
 
     # --- idle connections ---
 
-    def keep(self, receiver: Receiver, connection: Connection) -> None:
-        if receiver.listed.condition is not i.Condition.READY:
-            return connection.close()
-        connection.park(self.drop)
-        if receiver.idle is None:
-            receiver.idle = []
-        receiver.idle.append(connection)
-        self.parked[connection] = receiver
-
-    def drop(self, connection: Connection) -> None:
-        """One that ended, said something unasked, or is not to be kept."""
-        receiver = self.parked.pop(connection, None)
-        if receiver is not None and receiver.idle:
-            receiver.idle.remove(connection)
-        connection.close()
+    def release(self, receiver: Receiver, connection: Connection) -> None:
+        """A call has ended on it: keep it for another one, or close it."""
+        reason = connection.renew()
+        if reason is None and receiver.listed.condition is not i.Condition.READY:
+            reason = CloseReason.RELEASED
+        if reason is None:
+            self.idle.keep(receiver, connection)
+        else:
+            close_connection(receiver, connection, reason)
 
     def close_idle(self, receiver: Receiver) -> None:
-        while receiver.idle:
-            self.drop(receiver.idle[-1])
+        self.idle.drop_all(receiver, CloseReason.RELEASED)
 
     def look(self) -> None:
         """Guards against reuse near the receiver's idle limit: such a request ends as a reset."""
-        oldest = self.loop.time() - self.span
-        for connection in list(self.parked):
-            if connection.parked_at > oldest:
-                break
-            self.drop(connection)
-        self.timer = self.loop.call_later(min(LOOK, self.span / 4), self.look)
+        self.idle.drop_aged()
+        self.timer = self.loop.call_later(min(LOOK, self.idle.keep_alive / 4), self.look)
 
     async def connect(self, receiver: Receiver) -> Connection:
-        oldest = self.loop.time() - self.span
-        while receiver.idle:
-            connection = receiver.idle.pop()  # the one used last: the others may grow old and close
-            del self.parked[connection]
-            if connection.unpark() and connection.parked_at > oldest:
-                return connection
-            connection.close()
-        while self.parked and len(self.calls) + len(self.parked) > self.most:  # guards the descriptors
-            self.drop(next(iter(self.parked)))
+        connection = self.idle.take(receiver)
+        if connection is not None:
+            return connection
+        while len(self.idle) and len(self.calls) + len(self.idle) > self.most:  # guards the descriptors
+            self.idle.drop_oldest()
         async with asyncio.timeout(self.s.connect_timeout / 1000):
             return await Connection.open(receiver.address)
 
--- a/rainpier/node/calls.py
+++ b/rainpier/node/calls.py
@@ -139,8 +139,9 @@
 
     @staticmethod
     def held_back(call: Call, reason: str) -> None:
-        names = ",".join(entry.id for entry in call.entries)
-        record("attempt_held_back", reason, level=logging.DEBUG, ids=names, endpoint=call.receiver.host)
+        record(
+            "attempt_held_back", reason, level=logging.DEBUG, ids=call.names(), endpoint=call.receiver.host
+        )
 
     def take_out(self, call: Call, entry: Entry) -> None:
         """Nothing of it has left, and nothing will: its attempt is over, the call goes on without it."""
@@ -206,7 +207,8 @@
     ) -> None:
         """Its attempt is over: the module hears how."""
         self.out.pop(entry.number, None)
-        fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.host}
+        fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.host,
+                  "connection": call.connection, "use": call.uses}  # fmt: skip
         record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
         elapsed = (self.core.loop.time() - call.started) * 1000
         endpoint = call.receiver.listed.endpoint
@@ -225,6 +227,6 @@
         failed = Counter(outcome for outcome, _ in ending.outcomes if outcome in FAILURES)
         for outcome, count in failed.items():  # one line for a batch: an outage fails hundreds a second
             log.info(
-                "%s and %d more to %s: %s after %.0f ms, use %d of its connection",
-                call.entries[0].id, count - 1, call.receiver.host, outcome.name, took, call.uses,
+                "%s and %d more to %s: %s after %.0f ms, use %d of connection %d", call.entries[0].id,
+                count - 1, call.receiver.host, outcome.name, took, call.uses, call.connection,
             )  # fmt: skip
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -354,7 +354,7 @@
             begun = loop.time()
             assert outcomes(await bench.call("a", timeout=20.0)) == [outcome]
             assert loop.time() - begun < 5
-            assert not bench.receiver.idle and not bench.receivers.parked
+            assert not bench.receiver.idle and not len(bench.receivers.idle)
             assert outcomes(await bench.call("b")) == [O.OK] and peer.accepted == 2
 
     drive(story())
@@ -463,13 +463,13 @@
                 bench.start("a")
             for _ in range(3):
                 await bench.ended.get()
-            assert len(bench.receivers.parked) == 3
+            assert len(bench.receivers.idle) == 3
             bench.receivers.update(i.Listed(1, 3, 0, 1), "r1", ("127.0.0.1", one.port))
             bench.receivers.update(i.Listed(2, 3, 0, 1), "r2", ("127.0.0.1", two.port))
             now = asyncio.get_running_loop().time()
             bench.receivers.start(Call(bench.receivers.listed[2], entries("b"), [0], now, now + 5))
             assert outcomes(await bench.ended.get()) == [O.OK]
-            assert len(bench.receivers.parked) == 3
+            assert len(bench.receivers.idle) == 3
 
     drive(story())
 
@@ -490,3 +490,20 @@
         assert outcomes(await bench.ended.get()) == [O.CONNECT_FAILED]
 
     drive(story())
+
+
+def test_log_tells_which_calls_came_before_unsolicited_bytes(caplog):
+    """Guards against answers that count for the wrong call with nothing in the log that tells of it."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as peer:
+            bench = Bench(peer.port)
+            await bench.call("a")
+            await bench.call("b")
+            (writer,) = peer.writers
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await until(lambda: not bench.receiver.idle)
+        (line,) = [r.getMessage() for r in caplog.records if "connection_closed" in r.getMessage()]
+        assert "reason=unsolicited_bytes endpoint=r1" in line and "use=2" in line and "last_call=b" in line
+
+    drive(story())
