--- a/tests/peers.py
+++ b/tests/peers.py
@@ -97,6 +97,7 @@
             if request is None:
                 return
             self.requests.put_nowait((request.target.decode(), dict(request.headers), body))
+            self.request_came(writer)
             answer = self.answer(request, body)
             if asyncio.iscoroutine(answer) or isinstance(answer, asyncio.Future):
                 answer = await answer
@@ -109,10 +110,16 @@
             status, headers, content = answer
             head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(content)))])
             parts = (head, h11.Data(content), h11.EndOfMessage())
-            writer.write(b"".join(http.send(part) or b"" for part in parts))
+            self.respond(writer, b"".join(http.send(part) or b"" for part in parts))
             await writer.drain()
             http.start_next_cycle()
 
+    def request_came(self, writer):
+        """For peers that do something before they answer."""
+
+    def respond(self, writer, answer):
+        writer.write(answer)
+
     async def read(self, http, reader):
         request, body = None, b""
         while True:
--- a/tests/standins/faults/__main__.py
+++ b/tests/standins/faults/__main__.py
@@ -11,6 +11,7 @@
 from standins.faults.shim import ShimUnavailable, build
 
 MOST_SEED = 2**31
+MOST_SHOWN = 30  # findings of one run
 
 
 def seeds(text: str) -> range:
@@ -47,10 +48,10 @@
         print(f"{'BROKEN' if findings else 'kept'} seed {plan.seed} {plan.kind}: {summary}", flush=True)
         if findings:
             print(f"  plan: {plan}")
-            for finding in findings[:8]:
+            for finding in findings[:MOST_SHOWN]:
                 print(f"  {finding}")
-            if len(findings) > 8:
-                print(f"  and {len(findings) - 8} more", flush=True)
+            if len(findings) > MOST_SHOWN:
+                print(f"  and {len(findings) - MOST_SHOWN} more", flush=True)
 
     await asyncio.gather(*(one(plan) for plan in plans))
     print(f"{len(plans)} runs, {broken} with a broken rule")
--- a/tests/standins/faults/peers.py
+++ b/tests/standins/faults/peers.py
@@ -1,7 +1,6 @@
-"""The scripted peers of a run: receivers, each sender's agent, and clients."""
+"""The scripted peers of a run beside its receivers: each sender's agent, and clients."""
 
 import asyncio
-import base64
 import contextlib
 import json
 import random
@@ -9,134 +8,35 @@
 import socket
 from itertools import count
 
-import h11
 import hiredis
 from peers import HttpPeer, command, host
 
-from standins.faults.records import CAPACITY, Call, Drain, Message, Notice, Records
+from standins.faults.plan import Plan
+from standins.faults.receiver import Receiver
+from standins.faults.records import Drain, Message, Notice, Records
 from standins.faults.sender import Sender
+from standins.faults.strays import Strays
 
 ANSWER_TIME = 0.4  # s that a client waits for an answer
 RESET_TIME = 0.03  # s in which a reset follows an end
 CLASSES = ("safe", "keyed", "unsafe")
 
 
-class Receiver(HttpPeer):
-    """Answers each call by chance: delivered, an error, refused, told to wait, reset or left without an answer."""
-
-    def __init__(
-        self, name: str, destination: int, records: Records, draw: random.Random, trouble: float
-    ) -> None:
-        super().__init__(None)
-        self.name, self.destination, self.records, self.draw = name, destination, records, draw
-        self.trouble, self.wait_until = trouble, 0.0
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        http, loop = h11.Connection(h11.SERVER), asyncio.get_running_loop()
-        while True:
-            try:
-                request, body, begun = await self.read_call(http, reader)
-            except h11.RemoteProtocolError as error:
-                self.records.unreadable.append(f"{self.name}: {error}")
-                return
-            if request is None:
-                return
-            calls = self.listed(request, body, begun, loop.time())
-            self.records.calls += calls
-            outcome = self.choose(loop.time())
-            for call in calls:
-                call.outcome = outcome
-            self.note_failure(calls, loop.time())
-            if outcome == "hang":
-                await reader.read(1)  # until the sender gives it up
-                return
-            await asyncio.sleep(self.draw.uniform(0.002, 0.05))
-            if outcome == "reset":
-                return
-            writer.write(self.worded(http, outcome, calls))
-            if writer.transport.is_closing():
-                return
-            for call in calls:
-                call.written = loop.time()
-            http.start_next_cycle()
-
-    async def read_call(self, http, reader):
-        request, body, begun = None, b"", 0.0
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(65536))
-            elif isinstance(event, h11.Request):
-                request, begun = event, asyncio.get_running_loop().time()
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return request, body, begun
-            else:
-                return None, b"", 0.0
-
-    def listed(self, request, body, begun: float, now: float) -> list[Call]:
-        head = {name.decode(): value.decode() for name, value in request.headers}
-        if request.target == b"/v1/messages":
-            rows = [(head.get("x-call-id", ""), head.get("idempotency-key", ""), body)]
-        elif request.target == b"/v1/messages:batch":
-            rows = [(r["id"], r.get("key", ""), base64.b64decode(r["body"])) for r in json.loads(body)]
-        else:
-            self.records.unreadable.append(f"{self.name}: {request.target!r}")
-            rows = []
-        return [
-            Call(name, token, text, self.name, self.destination, begun, now) for name, token, text in rows
-        ]
-
-    def note_failure(self, calls: list[Call], now: float) -> None:
-        """Whose call failed in the outage: from then on it knows of it."""
-        outage = self.records.outage
-        if outage is None or outage.destination != self.destination or not outage.since <= now < outage.until:
-            return
-        for call in calls:
-            if (message := self.records.messages.get(call.message)) is not None:
-                outage.failed.setdefault(message.sender, now)
-
-    def choose(self, now: float) -> str:
-        if now < self.wait_until:
-            return "full"
-        outage = self.records.outage
-        if outage is not None and outage.destination == self.destination:
-            if outage.since <= now < outage.until:
-                return "reset"
-            if outage.full(now):
-                return "full"
-        if self.draw.random() >= self.trouble:
-            return "ok"
-        return self.draw.choice(["error", "full", "wait", "reset", "reset", "hang"])
-
-    def worded(self, http, outcome: str, calls: list[Call]) -> bytes:
-        loop, headers, body = asyncio.get_running_loop(), [], b""
-        status = {"ok": 200, "error": 500, "full": 503, "wait": 429}[outcome]
-        if outcome == "wait":
-            wait = self.draw.choice([0.2, 0.4])
-            headers = [("X-Retry-In-Ms", str(int(wait * 1000)))]
-            self.wait_until = loop.time() + wait
-            for call in calls:
-                call.wait = wait
-        if outcome == "ok" and len(calls) > 1:
-            body = json.dumps([{"id": call.message, "state": "delivered"} for call in calls]).encode()
-        head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(body)))])
-        return b"".join(http.send(part) or b"" for part in (head, h11.Data(body), h11.EndOfMessage()))
-
-
 class SenderAgent(HttpPeer):
     """One sender's agent: what it tells, and the notices that it is told, go into the records."""
 
-    def __init__(self, records: Records, name: str) -> None:
+    def __init__(self, records: Records, name: str, strays: Strays) -> None:
         super().__init__(self.reply)
-        self.records, self.name = records, name
+        self.records, self.name, self.strays = records, name, strays
+        self.strayed = False  # a stray has just been sent on the connection of the request that is answered
         self.hosts: list[dict] = []
         self.seq, self.news, self.draining = 1, asyncio.Event(), set()
 
     async def reply(self, request, body):
         loop, target = asyncio.get_running_loop(), request.target.decode()
         if target == "/reports":
+            if self.strayed and self.strays.drops_request():
+                return None
             for line in body.splitlines():
                 told = json.loads(line)
                 self.records.notices.append(Notice(loop.time(), self.name, told["message"], told["outcome"]))
@@ -153,6 +53,13 @@
         told = {"seq": self.seq, "whole": True, "hosts": self.hosts}
         return 200, [], json.dumps(told).encode()
 
+    def request_came(self, writer: asyncio.StreamWriter) -> None:
+        self.strayed = self.strays.request_came(writer)
+
+    def respond(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        super().respond(writer, answer)
+        self.strays.follow(writer, answer, by_agent=True)
+
     def drain(self, name: str) -> None:
         self.hosts = [h | {"health": "DRAINING"} if h["host"] == name else h for h in self.hosts]
         self.seq += 1
@@ -160,10 +67,10 @@
         self.news = asyncio.Event()
 
 
-def listed(receivers: list[Receiver]) -> list[dict]:
+def listed(receivers: list[Receiver], capacity: float) -> list[dict]:
     kinds = ("single", "bulk")
     return [
-        host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=CAPACITY)
+        host(r.name, r.dial, block=r.destination, kind=kinds[r.destination % 2], share=capacity)
         for r in receivers
     ]
 
@@ -173,10 +80,8 @@
 
     numbers = count(1)
 
-    def __init__(
-        self, sender: Sender, records: Records, draw: random.Random, gap: float, span: tuple
-    ) -> None:
-        self.sender, self.records, self.draw, self.gap, self.span = sender, records, draw, gap, span
+    def __init__(self, sender: Sender, records: Records, draw: random.Random, plan: Plan) -> None:
+        self.sender, self.records, self.draw, self.plan = sender, records, draw, plan
         self.reader = self.writer = None
         self.parser = hiredis.Reader()
         self.key = next(self.numbers)
@@ -186,7 +91,7 @@
         try:
             while loop.time() < until:
                 await self.hand_in(self.message())
-                await asyncio.sleep(self.draw.expovariate(1 / self.gap))
+                await asyncio.sleep(self.draw.expovariate(1 / self.plan.gap))
         finally:
             self.close()
 
@@ -197,10 +102,11 @@
         name = f"{draw.getrandbits(32):08x}{number:08x}"
         key = self.key if cls == "keyed" and draw.random() < 0.7 else 0
         token = f"t{number:x}" if cls == "keyed" else ""
-        span = draw.uniform(*self.span)
-        return Message(
-            name, cls, draw.choice([1, 2, 3]), key, token, draw.randbytes(size), span, self.sender.name
-        )
+        span = draw.uniform(*self.plan.span)
+        destination = draw.choice([1, 2, 3])
+        if self.plan.to_first and draw.random() < self.plan.to_first:
+            destination = 1
+        return Message(name, cls, destination, key, token, draw.randbytes(size), span, self.sender.name)
 
     async def hand_in(self, message: Message) -> None:
         self.records.messages[message.id] = message
--- a/tests/standins/faults/plan.py
+++ b/tests/standins/faults/plan.py
@@ -3,9 +3,12 @@
 import random
 from dataclasses import dataclass, field
 
+from standins.faults.records import CAPACITY
 from standins.faults.shim import FOREVER, Rule
+from standins.faults.strays import StrayPlan
 
-KINDS = ("storage", "start", "torn", "sockets", "clock", "signals", "recovery", "mixed")
+MIXABLE = ("storage", "start", "torn", "sockets", "clock", "signals", "recovery")
+KINDS = (*MIXABLE, "mixed", "answers", "answers+mixed")
 TRAFFIC = 6.0  # s for which clients hand messages in
 STORE_CALLS = ("open", "list", "read", "write", "truncate", "rename", "unlink", "sync", "lock", "close")
 STORE_ERRORS = ("EIO", "ENOSPC", "EDQUOT", "EROFS", "EMFILE", "EINTR")
@@ -24,6 +27,7 @@
 )
 INTERRUPTED = 50  # percent: a call is interrupted by a signal now and then, not each time for seconds
 STEPS = (1_000, 7_000, 3_600_000, 86_400_000)  # ms
+STRAY_TIME = 0.06  # s behind an answer in which something more may come
 START_TIME = 0.6  # s between a kill and the next start
 TERM_TIME = 3.7  # s between SIGTERM and SIGKILL
 
@@ -52,11 +56,16 @@
     restarts: list[Restart] = field(default_factory=list)
     outage: tuple[int, float, float] | None = None  # destination, from, to: s; it returns cold
     drain_at: float | None = None  # s, when one receiver of each destination drains
+    answer_time: tuple[float, float] = (0.002, 0.05)  # s in which receivers answer
+    capacity: float = CAPACITY  # calls a second of each receiver, as listed
+    to_first: float = 0.0  # share of the messages that all go to the first destination
+    strays: StrayPlan = StrayPlan()  # what receivers and agents send beyond their answers
 
     def __str__(self) -> str:
         rules = [f"n{n}: {rule.line()}" for n, some in self.rules.items() for rule in some]
+        strays = [str(self.strays)] if self.strays.share else []
         return "; ".join([f"seed {self.seed} {self.kind}, {self.senders} senders x {self.clients} clients, "
-                          f"crowd {self.crowd}", *map(str, self.restarts), *rules])  # fmt: skip
+                          f"crowd {self.crowd}", *map(str, self.restarts), *rules, *strays])  # fmt: skip
 
 
 def draw(seed: int, kind: str = "mixed") -> Plan:
@@ -66,13 +75,20 @@
         (chance.uniform(0.8, 1.5), chance.uniform(2.0, 4.0)), chance.choice([0.0, 0.1, 0.3]),
         crowd=chance.choice([0, 0, 0, 60]),
     )  # fmt: skip
-    kinds = chance.sample(KINDS[:-1], 3) if kind == "mixed" else [kind]
+    kinds = chance.sample(MIXABLE, 3) if kind.endswith("mixed") else [kind]
+    if kind.startswith("answers"):
+        plan.strays = strays(chance)
+        plan.answer_time = (0.01, chance.uniform(0.1, 0.3))
+        plan.gap = chance.uniform(0.01, 0.03)
+        plan.span = (2.0, 6.0)
     plan.drain_at = chance.uniform(1.0, 5.0) if chance.random() < 0.5 else None
     if "recovery" in kinds:
         since = chance.uniform(0.5, 1.5)
         plan.outage = (chance.choice([1, 2, 3]), since, since + chance.uniform(1.0, 2.5))
         plan.gap = chance.uniform(0.02, 0.04)
         plan.span = (2.0, 6.0)
+        plan.capacity = chance.choice([CAPACITY, 10 * CAPACITY, 10 * CAPACITY])
+        plan.to_first = chance.choice([0.0, 0.8, 0.8])
     for n in range(plan.senders):
         plan.rules[n] = [rule for one in kinds for rule in rules_of(one, chance)]
         if "signals" in kinds or "start" in kinds or "torn" in kinds or chance.random() < 0.5:
@@ -80,6 +96,17 @@
     return plan
 
 
+def strays(chance: random.Random) -> StrayPlan:
+    return StrayPlan(
+        share=chance.choice([0.05, 0.15, 0.4]),
+        delay=(0.0, chance.choice([0.01, 0.03, STRAY_TIME])),
+        at_next=chance.random() < 0.7,
+        broken=chance.choice([0.0, 0.3]),
+        at_agents=chance.random() < 0.3,
+        dropped=chance.choice([0.0, 0.2]),
+    )
+
+
 def restart(sender: int, chance: random.Random) -> Restart:
     gently = chance.random() < 0.4
     return Restart(chance.uniform(0.8, 2.0 if gently else 4.5), sender, gently, chance.choice([1, 1, 2]))
--- a/tests/standins/faults/records.py
+++ b/tests/standins/faults/records.py
@@ -44,6 +44,7 @@
     read: float  # when its last byte was read
     outcome: str = ""  # "ok", "error", "full", "wait", "reset", "hang"
     written: float | None = None  # when its answer was written
+    closed: float | None = None  # from when on it was not out any more: answered, or its connection ended
     wait: float = 0.0  # s
 
 
--- a/tests/standins/faults/run.py
+++ b/tests/standins/faults/run.py
@@ -9,10 +9,12 @@
 
 from peers import SETTINGS
 
-from standins.faults.peers import Client, Receiver, SenderAgent, listed
+from standins.faults.peers import Client, SenderAgent, listed
 from standins.faults.plan import START_TIME, TERM_TIME, TRAFFIC, Plan, Restart
+from standins.faults.receiver import Receiver
 from standins.faults.records import Outage, Records
 from standins.faults.sender import Sender
+from standins.faults.strays import Strays
 from standins.faults.verdict import (
     AFTER_START,
     COLD_FROM,
@@ -64,16 +66,15 @@
 
     async def begin(self, stack: contextlib.AsyncExitStack) -> None:
         loop = asyncio.get_running_loop()
+        self.strays = Strays(self.plan.strays, random.Random(f"{self.plan.seed} strays"))
         self.receivers = [
-            await stack.enter_async_context(
-                Receiver(f"r{dest}{n}", dest, self.records, self.chance, self.plan.trouble)
-            )
+            await stack.enter_async_context(self.receiver(f"r{dest}{n}", dest))
             for dest in DESTINATIONS for n in (1, 2)
         ]  # fmt: skip
         self.agents = []
         for n in range(self.plan.senders):
-            agent = await stack.enter_async_context(SenderAgent(self.records, f"n{n}"))
-            agent.hosts = listed(self.receivers)
+            agent = await stack.enter_async_context(SenderAgent(self.records, f"n{n}", self.strays))
+            agent.hosts = listed(self.receivers, self.plan.capacity)
             self.agents.append(agent)
         self.began = loop.time()
         settings = SETTINGS | {
@@ -93,6 +94,12 @@
             stack.push_async_callback(sender.kill)
         await asyncio.gather(*(self.start(sender) for sender in self.senders))
 
+    def receiver(self, name: str, destination: int) -> Receiver:
+        plan = self.plan
+        return Receiver(
+            name, destination, self.records, self.chance, plan.trouble, self.strays, plan.answer_time
+        )
+
     async def start(self, sender: Sender) -> None:
         await sender.start()
         life = sender.life
@@ -102,7 +109,7 @@
     def clients(self) -> list[Client]:
         plan = self.plan
         return [
-            Client(sender, self.records, random.Random(f"{plan.seed} {sender.name} {n}"), plan.gap, plan.span)
+            Client(sender, self.records, random.Random(f"{plan.seed} {sender.name} {n}"), plan)
             for sender in self.senders for n in range(plan.clients)
         ]  # fmt: skip
 
@@ -182,7 +189,7 @@
         lives = sum(len(sender.lives) for sender in self.senders)
         return (f"{len(messages)} messages, {told['OK']} taken on, {told['BUSY']} busy, {told['ERR']} failed, "
                 f"{told[None]} unanswered, {len(self.records.calls)} calls, {len(self.records.notices)} notices, "
-                f"{lives} lives, {struck} calls failed, lag {self.records.lag * 1000:.0f} ms{cold}")  # fmt: skip
+                f"{lives} lives, {struck} calls failed, {self.strays.sent} strays, lag {self.records.lag * 1000:.0f} ms{cold}")  # fmt: skip
 
 
 async def play(plan: Plan, library: Path, logs: Path | None = None) -> tuple[list[str], str]:
--- a/tests/standins/faults/verdict.py
+++ b/tests/standins/faults/verdict.py
@@ -47,6 +47,7 @@
             self.closed(message)
             self.refused(message)
             self.repeats(message)
+            self.at_once(message)
             self.after_notice(message)
         self.order()
         self.drains()
@@ -133,6 +134,15 @@
         if back and ran and message.cls == "unsafe":
             self.find("duplicate", "it may have run, and was handed back", message)
 
+    def at_once(self, message: Message) -> None:
+        """No second attempt goes out while one is out on an open connection: the settings allow none."""
+        calls = sorted(self.calls.get(message.id, []), key=lambda call: call.read)
+        for before, after in zip(calls, calls[1:], strict=False):
+            until = after.read if before.closed is None else before.closed
+            if after.read < until - self.slack:
+                self.find("duplicate", "two attempts of it were out at once", message)
+                return
+
     def after_notice(self, message: Message) -> None:
         notices = self.notices.get(message.id, [])
         if notices and any(
