Let a connection settle before it carries another call, so that no copy answers it

Cause: HTTP/1.1 matches answers to requests by their order alone, and a connection was used again at once; a copy of its last answer that came up to 10 ms later, when the next call was out, counted as that call's answer, and each answer after it for the call behind its own. Evidence: in all reported messages a copy had come on the connection of their call; the reproduction breaks the same rules. Change: a connection carries another call only 0.25 s after its last answer; a byte that comes meanwhile closes it, as before; a call that finds no settled connection opens a new one. Why it works: what comes within that time meets no call.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -11,6 +11,7 @@
 from .exchange import Answer, Exchange
 
 REST = 0.5  # s from an answer's first byte to its last: what takes longer is not going to end
+SETTLE_TIME = 0.25  # s without a byte behind an answer before the connection carries another request
 READ = 65536  # bytes of one read
 INCOMING = memoryview(bytearray(READ))  # each read is taken up before the next one begins
 
@@ -146,6 +147,15 @@
         """Idle from now on: `lost` is told when it ends, or when a byte comes that nobody asked for."""
         self.lost, self.parked_at = lost, asyncio.get_running_loop().time()
 
+    @property
+    def settled(self) -> bool:
+        """Whether its last answer is so long ago that a second copy of it would have come.
+
+        HTTP/1.1 matches answers to requests by their order alone: a copy that comes once the next request is
+        out would count as the answer to that one.
+        """
+        return asyncio.get_running_loop().time() - self.answered_at >= SETTLE_TIME
+
     def unpark(self) -> bool:
         """Take the connection up again; False: it was lost."""
         self.lost = None
--- a/rainpier/carriers/http/idle.py
+++ b/rainpier/carriers/http/idle.py
@@ -37,10 +37,11 @@
         self.owners[connection] = owner
 
     def take(self, owner: Endpoint) -> Connection | None:
-        """The connection that was used last, since the others may grow old and close; None: there is none."""
+        """The settled connection that was used last, since the others may grow old; None: there is none."""
         oldest = self.loop.time() - self.keep_alive
-        while owner.idle:
-            connection = owner.idle.pop()
+        while (connection := self.last_settled(owner)) is not None:
+            assert owner.idle is not None
+            owner.idle.remove(connection)
             del self.owners[connection]
             if connection.unpark() and connection.parked_at > oldest:
                 return connection
@@ -49,6 +50,10 @@
             close(owner, connection, CloseReason.UNSOLICITED if connection.unsolicited else reason)
         return None
 
+    @staticmethod
+    def last_settled(owner: Endpoint) -> Connection | None:
+        return next((connection for connection in reversed(owner.idle or ()) if connection.settled), None)
+
     def on_lost(self, connection: Connection) -> None:
         """An idle connection ended, or its peer sent what nobody asked for."""
         unsolicited = connection.unsolicited
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -51,6 +51,10 @@
         self.receivers.start(call)
         return call
 
+    async def settled(self):
+        """Until its idle connections may be used again."""
+        await until(lambda: all(connection.settled for connection in self.receiver.idle))
+
     async def call(self, *names, **more):
         self.start(*names, **more)
         return await asyncio.wait_for(self.ended.get(), 10)
@@ -208,6 +212,7 @@
             bench = Bench(peer.port)
             for _ in range(3):
                 assert outcomes(await bench.call("a")) == [O.OK]
+                await bench.settled()
             assert peer.accepted == 1
             (writer,) = peer.writers
             writer.write(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
@@ -253,6 +258,7 @@
                 bench.start(name)
             assert [outcomes(await bench.ended.get()) for _ in range(2)] == [[O.OK], [O.OK]]
             assert len(bench.receiver.idle) == 2
+            await bench.settled()
             assert outcomes(await bench.call("c", body=b"hang", timeout=0.2)) == [O.TIMEOUT]
             assert not bench.receiver.idle
             assert outcomes(await bench.call("d")) == [O.OK] and peer.accepted == 3
@@ -277,6 +283,7 @@
             assert outcomes(await bench.ended.get()) == [O.RESET] and bench.receiver.idle == [kept]
             gate.set_result((200, [], b""))
             assert outcomes(await bench.ended.get()) == [O.OK]
+            await bench.settled()
             assert outcomes(await bench.call("d", body=b"break")) == [O.RESET]  # on a kept one
             assert not bench.receiver.idle and peer.accepted == 3
 
@@ -394,6 +401,7 @@
             bench = Bench(peer.port)
             ending = await bench.call("a")
             assert outcomes(ending) == [O.FULL] and ending.wait == 40
+            await bench.settled()
             assert outcomes(await bench.call("b")) == [O.OK] and peer.accepted == 1
 
     drive(story())
@@ -492,6 +500,47 @@
     drive(story())
 
 
+@pytest.mark.parametrize(("first", "second"), [(200, O.FULL), (503, O.OK)])
+def test_copy_of_an_answer_that_comes_while_the_next_call_is_out_is_not_its_answer(first, second):
+    """Guards against a refused call that counts as delivered, and a running one that counts as refused."""
+
+    async def story():
+        status = [first, 503 if first == 200 else 200]
+
+        async def answer(reader, writer):
+            number = len(peer.writers)
+            while await reader.readuntil(b"body\xff"):
+                if number == 1 and len(status) == 1:  # the second call, on the connection of the first one
+                    writer.write(b"HTTP/1.1 %d \r\nContent-Length: 0\r\n\r\n" % first)
+                    await asyncio.sleep(0.05)
+                writer.write(b"HTTP/1.1 %d \r\nContent-Length: 0\r\n\r\n" % status.pop(0))
+
+        peer = Peer()
+        peer.serve = answer
+        async with peer:
+            bench = Bench(peer.port)
+            await bench.call("a")
+            assert outcomes(await bench.call("b")) == [second]
+
+    drive(story())
+
+
+def test_a_connection_carries_a_call_again_only_once_it_has_settled():
+    """Guards against a copy of the last answer that comes once the next call is out."""
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as peer:
+            bench = Bench(peer.port)
+            for name in "abc":
+                await bench.call(name)
+            assert peer.accepted == 3 and len(bench.receiver.idle) == 3
+            await bench.settled()
+            await bench.call("d")
+            assert peer.accepted == 3
+
+    drive(story())
+
+
 def test_log_tells_which_calls_came_before_unsolicited_bytes(caplog):
     """Guards against answers that count for the wrong call with nothing in the log that tells of it."""
 
@@ -499,6 +548,7 @@
         async with HttpPeer(lambda request, body: (200, [], b"")) as peer:
             bench = Bench(peer.port)
             await bench.call("a")
+            await bench.settled()
             await bench.call("b")
             (writer,) = peer.writers
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
