Let the client of discovery and notices settle too, so that no copy answers a request

Cause: notices go one after another on one connection; a copy of a 204 that came while the next notice was out counted as its answer, and where nobody had read that notice its messages' ends were forgotten. Evidence: the reproduction, whose agent copies a 204 and ends the connection.

--- a/rainpier/carriers/http/client.py
+++ b/rainpier/carriers/http/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .connection import Connection
+from .connection import CloseReason, Connection
 from .exchange import Answer, request
 
 
@@ -12,11 +12,26 @@
     def __init__(self, address: tuple[str, int], most: int) -> None:
         self.address, self.most, self.connection = address, most, None
 
-    def drop(self, _: Connection | None = None) -> None:
+    def drop(self, reason: CloseReason = CloseReason.RELEASED) -> None:
         if self.connection is not None:
-            self.connection.close()
+            self.connection.end(reason, "{}:{}".format(*self.address))
             self.connection = None
 
+    def on_lost(self, connection: Connection) -> None:
+        """The idle connection ended, or its peer sent what nobody asked for."""
+        self.drop(CloseReason.UNSOLICITED if connection.unsolicited else CloseReason.CLOSED_BY_PEER)
+
+    async def connect(self, patience: float) -> Connection:
+        """The kept connection where it may carry another request, else a new one within so many s."""
+        if self.connection is not None and not self.connection.settled:
+            self.drop(CloseReason.NOT_SETTLED)
+        if self.connection is not None and not self.connection.unpark():
+            self.on_lost(self.connection)
+        if self.connection is None:
+            async with asyncio.timeout(patience):
+                self.connection = await Connection.open(self.address)
+        return self.connection
+
     async def request(
         self, method: str, target: str, body: bytes, timeout: float, rest: float | None = None
     ) -> Answer:
@@ -26,21 +41,18 @@
         lies between may take as long as `timeout`.
         """
         rest = timeout if rest is None else rest
-        kept = False
+        reason: CloseReason | None = CloseReason.NO_ANSWER
         try:
             async with asyncio.timeout(timeout):
-                if self.connection is not None and not self.connection.unpark():
-                    self.drop()
-                if self.connection is None:
-                    async with asyncio.timeout(rest):
-                        self.connection = await Connection.open(self.address)
+                connection = await self.connect(rest)
+                connection.carried = (target,)
                 host = ("Host", "{}:{}".format(*self.address))
-                await self.connection.send(request(method, target, [host], body), self.most, rest)
-                answer = await self.connection.answer()
-                kept = self.connection.renew() is None
+                await connection.send(request(method, target, [host], body), self.most, rest)
+                answer = await connection.answer()
+                reason = connection.renew()
                 return answer
         finally:
-            if kept and self.connection is not None:
-                self.connection.park(self.drop)
-            else:
-                self.drop()
+            if reason is None and self.connection is not None:
+                self.connection.park(self.on_lost)
+            elif reason is not None:
+                self.drop(reason)
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -1,12 +1,14 @@
 """HTTP/1.1 on one kept connection: an asyncio protocol that carries one exchange at a time."""
 
 import asyncio
+import logging
 import math
 import socket
 from collections.abc import Callable
 from enum import Enum
 from itertools import count
 
+from ...observe.events import record
 from ...sockets import stream_socket
 from .exchange import Answer, Exchange
 
@@ -24,6 +26,7 @@
     NOT_PERSISTENT = "not_persistent"  # the answer says that the connection ends with it
     NO_ANSWER = "no_answer"  # its exchange was given up, broke off or can't be read
     IDLE_TOO_LONG = "idle_too_long"
+    NOT_SETTLED = "not_settled"  # the next request comes too soon behind its last answer
     RELEASED = "released"  # its endpoint drains, moved or failed, or the policy wants it closed
     DESCRIPTORS = "descriptor_limit"
 
@@ -174,6 +177,20 @@
         self.unsolicited = self.unsolicited or bool(waiting)
         return False
 
+    def end(self, reason: CloseReason, endpoint: str) -> None:
+        """Close it, and say why. Unsolicited bytes are logged with what was carried before them.
+
+        The answer to that, or to something before it on the same connection, may have been another one's.
+        """
+        told = {"endpoint": endpoint, "connection": self.number, "use": self.uses}
+        level = logging.DEBUG
+        if reason is CloseReason.UNSOLICITED:
+            level = logging.WARNING
+            since = (asyncio.get_running_loop().time() - self.answered_at) * 1000
+            told |= {"since_answer_ms": f"{since:.1f}", "last_call": ",".join(self.carried)}
+        record("connection_closed", reason.value, level=level, **told)
+        self.close()
+
     def close(self) -> None:
         """At once, whatever is unsent: what is not written yet must never be."""
         self.lost = None
--- a/rainpier/carriers/http/idle.py
+++ b/rainpier/carriers/http/idle.py
@@ -1,10 +1,8 @@
 """Idle connections to endpoints: which one is used again, and when they are closed."""
 
 import asyncio
-import logging
 from typing import Protocol
 
-from ...observe.events import record
 from .connection import CloseReason, Connection
 
 
@@ -47,7 +45,7 @@
                 return connection
             aged = connection.parked_at <= oldest
             reason = CloseReason.IDLE_TOO_LONG if aged else CloseReason.CLOSED_BY_PEER
-            close(owner, connection, CloseReason.UNSOLICITED if connection.unsolicited else reason)
+            connection.end(CloseReason.UNSOLICITED if connection.unsolicited else reason, owner.host)
         return None
 
     @staticmethod
@@ -65,7 +63,7 @@
             return
         if owner.idle:
             owner.idle.remove(connection)
-        close(owner, connection, reason)
+        connection.end(reason, owner.host)
 
     def drop_oldest(self) -> None:
         self.drop(next(iter(self.owners)), CloseReason.DESCRIPTORS)
@@ -80,18 +78,3 @@
             if connection.parked_at > oldest:
                 break
             self.drop(connection, CloseReason.IDLE_TOO_LONG)
-
-
-def close(owner: Endpoint, connection: Connection, reason: CloseReason) -> None:
-    """Close a connection, and say why. Unsolicited bytes are logged with the call that came before them.
-
-    The answer of that call, or of one before it on the same connection, may have been another call's.
-    """
-    told = {"endpoint": owner.host, "connection": connection.number, "use": connection.uses}
-    level = logging.DEBUG
-    if reason is CloseReason.UNSOLICITED:
-        level = logging.WARNING
-        since = (asyncio.get_running_loop().time() - connection.answered_at) * 1000
-        told |= {"since_answer_ms": f"{since:.1f}", "last_call": ",".join(connection.carried)}
-    record("connection_closed", reason.value, level=level, **told)
-    connection.close()
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -17,7 +17,6 @@
 from .connection import CloseReason, Connection
 from .exchange import BROKEN, Answer, Spoilt, request
 from .idle import IdleConnections
-from .idle import close as close_connection
 
 log = logging.getLogger(__name__)
 WHOLE = {200: Outcome.OK, 500: Outcome.ERROR, 429: Outcome.FULL, 503: Outcome.FULL,
@@ -320,7 +319,7 @@
         if reason is None:
             self.idle.keep(receiver, connection)
         else:
-            close_connection(receiver, connection, reason)
+            connection.end(reason, receiver.host)
 
     def close_idle(self, receiver: Receiver) -> None:
         self.idle.drop_all(receiver, CloseReason.RELEASED)
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -54,7 +54,7 @@
                 assert len(module.routes) == len(node.hosts.destinations) == 1 and not module.held
                 assert [len(routes) for routes in module.routes.values()] == [1]
                 await until(lambda: not len(node.calls.waits.until))
-                assert not node.calls.receivers.calls and len(node.calls.receivers.parked) <= 8
+                assert not node.calls.receivers.calls and len(node.calls.receivers.idle) <= 8
                 assert not len(node.ends.late) and not node.ends.held
                 assert not node.hosts.forgotten and not node.store.numbers and not node.store.sizes
                 assert len(asyncio.all_tasks()) < 40 and sys.getrefcount(node) < 100
