Take an answer that names other messages for none, and close its connection

Cause: an answer to an earlier call on the same connection was read as the batch's; its messages counted as failed, but the connection went on, out of step, with the true answer still to come. Evidence: the log lines ERROR after 2 ms, use 15, and after 9, 94 and 148 ms, uses 17 to 19 of one connection. Change: the answer to a batch that names none of its messages, or on a used connection not just these, and an answer to a single call there that names another message, is a foreign answer: the call may have run, and its connection is closed. The reading of answers is a module of its own, the text moved.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -22,6 +22,7 @@
     """Why a connection carries no further exchange; the values are the words of the log records."""
 
     UNSOLICITED = "unsolicited_bytes"  # the peer sent more than one answer for each request
+    FOREIGN_ANSWER = "foreign_answer"  # its last answer was not the answer to its last request
     CLOSED_BY_PEER = "closed_by_peer"
     NOT_PERSISTENT = "not_persistent"  # the answer says that the connection ends with it
     NO_ANSWER = "no_answer"  # its exchange was given up, broke off or can't be read
@@ -40,6 +41,7 @@
         self.number = next(self.numbers)  # in this process, for the log
         self.sock = sock
         self.unsolicited = False  # a byte came that belongs to no exchange
+        self.out_of_step = False  # its last answer was another request's
         self.answered_at = -math.inf  # loop time, s, at which its last whole answer was taken up
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -140,6 +142,8 @@
     def unfit(self, exchange: Exchange) -> CloseReason | None:
         if not exchange.answered:
             return CloseReason.NO_ANSWER
+        if self.out_of_step:
+            return CloseReason.FOREIGN_ANSWER
         if self.unsolicited:
             return CloseReason.UNSOLICITED
         if not exchange.reusable:
@@ -178,13 +182,13 @@
         return False
 
     def end(self, reason: CloseReason, endpoint: str) -> None:
-        """Close it, and say why. Unsolicited bytes are logged with what was carried before them.
+        """Close it, and say why. What a peer sent beyond its answers is logged with what came before it.
 
         The answer to that, or to something before it on the same connection, may have been another one's.
         """
         told = {"endpoint": endpoint, "connection": self.number, "use": self.uses}
         level = logging.DEBUG
-        if reason is CloseReason.UNSOLICITED:
+        if reason in (CloseReason.UNSOLICITED, CloseReason.FOREIGN_ANSWER):
             level = logging.WARNING
             since = (asyncio.get_running_loop().time() - self.answered_at) * 1000
             told |= {"since_answer_ms": f"{since:.1f}", "last_call": ",".join(self.carried)}
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -14,22 +14,17 @@
 from ...attempt.table import Attempt, Event
 from ...interface import Outcome
 from ...store.entry import Entry
+from .answers import Ending, ForeignAnswer, read_ending, told_wait
 from .connection import CloseReason, Connection
-from .exchange import BROKEN, Answer, Spoilt, request
+from .exchange import BROKEN, Spoilt, request
 from .idle import IdleConnections
 
 log = logging.getLogger(__name__)
-WHOLE = {200: Outcome.OK, 500: Outcome.ERROR, 429: Outcome.FULL, 503: Outcome.FULL,
-         504: Outcome.MOOT, 410: Outcome.MOOT, 400: Outcome.FULL, 413: Outcome.FULL}  # fmt: skip
-EACH = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
-        "over": Outcome.MOOT, "spent": Outcome.MOOT}  # fmt: skip
 MAX_BODY = 65536  # bytes of a call's body
 IDLE_SHARE = 0.9  # of the time after which a receiver closes an idle connection: older ones are not used
 LOOK = 0.5  # s between looks for connections that are too old
 MAX_ANSWER = 4096  # bytes of an answer's body, and for each message of a batch:
 MAX_ROW = 512
-MOST_WAIT = 600_000.0  # ms that a told wait binds at most: what is longer is a mistake
-MOST_LOAD = 1e9  # of a load report's figure
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
@@ -86,15 +81,6 @@
         return ",".join(entry.id for entry in self.entries)
 
 
-@dataclass(slots=True)
-class Ending:
-    """How a call ended: for each message its outcome and whether nothing more is owed for it."""
-
-    outcomes: list[tuple[Outcome, bool]]
-    wait: float = 0.0  # ms
-    report: tuple[float, ...] = ()
-
-
 Early = Callable[[Call, Entry, Outcome], None]
 MayWrite = Callable[[Call], bool | asyncio.Future[bool]]
 
@@ -126,54 +112,6 @@
         yield batch
 
 
-def told_wait(headers: dict[str, str]) -> float:
-    """Any answer may tell a wait, and it binds alike; ms, 0 where there is none that can be believed."""
-    try:
-        wait = float(headers.get("x-retry-in-ms", "0"))
-    except ValueError:
-        return 0.0
-    return min(wait, MOST_WAIT) if 0 < wait < math.inf else 0.0
-
-
-def load_report(headers: dict[str, str], names: tuple[str, ...]) -> tuple[float, ...]:
-    """A report that can't be read or can't be true is no report: it must not teach the module anything."""
-    parts = headers.get("x-load-report", "").split(",")
-    pairs = dict(part.split("=", 1) for part in parts if "=" in part)
-    try:
-        report = tuple(float(pairs[name]) for name in names) if pairs else ()
-    except (KeyError, ValueError):
-        return ()
-    return report if all(0 <= value <= MOST_LOAD for value in report) else ()
-
-
-def each_state(body: bytes) -> dict[str, str]:
-    """A batch answer's states by message id; what can't be read, or is told in two ways, is absent."""
-    try:
-        rows = json.loads(body)
-    except (ValueError, RecursionError):
-        return {}
-    if not isinstance(rows, list):
-        return {}
-    told: dict[str, set[str]] = {}
-    for row in rows:
-        if isinstance(row, dict):
-            told.setdefault(str(row.get("id")), set()).add(str(row.get("state")))
-    return {name: states.pop() for name, states in told.items() if len(states) == 1}
-
-
-def read_ending(call: Call, answer: Answer, fields: tuple[str, ...]) -> Ending:
-    """PROTOCOL's table. What is not in it may have run."""
-    wait, report = told_wait(answer.headers), load_report(answer.headers, fields)
-    if answer.status == 200 and len(call.entries) > 1:
-        states = each_state(answer.body)
-        told = [states.get(entry.id, "") for entry in call.entries]
-        return Ending([(EACH.get(state, Outcome.ERROR), state == "over") for state in told], wait, report)
-    outcome = WHOLE.get(answer.status, Outcome.ERROR)
-    if answer.status == 503 and answer.headers.get("x-no-slot") == "1":
-        outcome = Outcome.MOOT
-    return Ending([(outcome, answer.status == 410)] * len(call.entries), wait, report)
-
-
 class Receivers:
     """Makes calls and tells how they ended."""
 
@@ -253,12 +191,17 @@
                     connection.carried = tuple(entry.id for entry in call.entries)
                     await connection.send(self.request(call), self.most_answer(call))
                     call.attempt.feed(Event.SENT)
-                    ending = read_ending(call, await connection.answer(), self.s.report_fields)
+                    ids, answer = [entry.id for entry in call.entries], await connection.answer()
+                    ending = read_ending(ids, answer, self.s.report_fields, call.uses > 1)
                     call.attempt.feed(Event.ANSWER)
                 else:
                     ending = self.all(call, Outcome.MOOT)
         except TimeoutError:
             ending = self.broken(call, connection, Event.TIMED_OUT)
+        except ForeignAnswer as error:
+            log.warning("answer of %s to another call: %s", call.receiver.host, error)
+            connection.out_of_step = True
+            ending = self.all(call, call.attempt.feed(Event.SPOILT))
         except Spoilt as error:
             log.info("spoilt answer of %s: %s", call.receiver.host, error)
             ending = self.broken(call, connection, Event.SPOILT)
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -11,7 +11,8 @@
 
 from rainpier import interface as i
 from rainpier.attempt.table import State
-from rainpier.carriers.http.receivers import Call, Receivers, batches, load_report, told_wait
+from rainpier.carriers.http.answers import load_report, told_wait
+from rainpier.carriers.http.receivers import Call, Receivers, batches
 from rainpier.config.platform import settings
 from rainpier.interface import Outcome as O
 from rainpier.store.entry import Entry
@@ -525,6 +526,41 @@
     drive(story())
 
 
+def rows(*names):
+    return json.dumps([{"id": name, "state": "delivered"} for name in names]).encode()
+
+
+@pytest.mark.parametrize(("names", "answer", "headers", "reused", "outcome"), [
+    ("ab", rows("c", "d"), [], False, O.ERROR),  # another batch's
+    ("ab", rows("a", "b", "c"), [], True, O.ERROR),  # that of a batch that shared some of its messages
+    ("ab", rows("a"), [], True, O.ERROR),
+    ("ab", b"", [], True, O.ERROR),  # that of a single call
+    ("ab", rows("a", "b"), [], True, O.OK),
+    ("ab", rows("a", "b", "c"), [], False, O.OK),
+    ("a", rows("b", "c"), [], True, O.ERROR),  # a batch's
+    ("a", rows("a"), [], True, O.OK),
+    ("a", b"[not rows]", [], True, O.OK),  # it names nobody
+    ("a", rows("b", "c"), [], False, O.OK),  # nothing came ahead of it
+    ("a", b"", [("X-Call-Id", "b")], True, O.ERROR),
+    ("a", b"", [("X-Call-Id", "a")], True, O.OK),
+])  # fmt: skip
+def test_answer_that_names_other_messages_is_no_answer(names, answer, headers, reused, outcome):
+    """Guards against a call that takes another one's answer for its own, and a connection that goes on so."""
+
+    async def story():
+        answers = [(200, [], b"")] if reused else []
+        answers.append((200, headers, answer))
+        async with HttpPeer(lambda request, body: answers.pop(0)) as peer:
+            bench = Bench(peer.port)
+            if reused:
+                await bench.call("x")
+                await bench.settled()
+            assert outcomes(await bench.call(*names)) == [outcome] * len(names)
+            assert bool(bench.receiver.idle) is (outcome is O.OK) and peer.accepted == 1
+
+    drive(story())
+
+
 def test_a_connection_carries_a_call_again_only_once_it_has_settled():
     """Guards against a copy of the last answer that comes once the next call is out."""
 
