Write no call on a connection on which bytes came while the call was recorded

Cause: between the look at an idle connection and the call's first byte the call waits for its record's fsync; bytes that came meanwhile were dropped unseen, and the rest of a copy, or what came a moment later in the socket, counted as the answer. Change: bytes on a connection without an exchange mark it, and a send looks at the socket again; the call then surely never ran, and the connection is closed. Measured: the new test fails before, and passes now.

--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -75,10 +75,11 @@
         return INCOMING
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.lost is not None:
+        if self.exchange is None:
             self.unsolicited = True
-            self.lost(self)
-        elif self.exchange is not None and not self.closed:
+            if self.lost is not None:
+                self.lost(self)
+        elif not self.closed:
             self.exchange.feed(bytes(INCOMING[:nbytes]))
 
     def eof_received(self) -> bool:
@@ -115,6 +116,8 @@
     async def send(self, data: bytes, most: int, rest: float = REST) -> None:
         """Returns when the last byte was written; raises when it was not. An answer has `most` bytes."""
         assert self.transport is not None
+        if self.unsolicited or not self.quiet():
+            raise ConnectionResetError("bytes, or the connection's end, came ahead of the request")
         self.exchange, self.written = Exchange(most, rest), None
         self.uses += 1
         self.transport.write(data)
@@ -133,6 +136,8 @@
         """End the exchange. Why the connection can't carry another one; None: it can."""
         exchange, self.exchange = self.exchange, None
         if exchange is None:  # nothing was sent
+            if self.unsolicited:
+                return CloseReason.UNSOLICITED
             return CloseReason.CLOSED_BY_PEER if self.closed or self.ended else None
         exchange.stop_timer()
         if exchange.more:
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -577,6 +577,35 @@
     drive(story())
 
 
+def test_bytes_that_come_while_a_call_is_recorded_are_not_its_answer():
+    """Guards against a copy that comes between the look at an idle connection and the call's first byte."""
+
+    async def story():
+        recorded = asyncio.Event()
+
+        async def record():
+            await recorded.wait()
+            return True
+
+        def may_write(call):
+            return True if call.entries[0].id == "a" else asyncio.ensure_future(record())
+
+        async with Raw(GOOD, FULL) as peer:
+            bench = Bench(peer.port, may_write=may_write)
+            assert outcomes(await bench.call("a")) == [O.OK]
+            await bench.settled()
+            (connection,), (writer,) = bench.receiver.idle, peer.writers
+            call = bench.start("b")
+            await until(lambda: call.attempt.state is State.RECORDING)
+            writer.write(GOOD)
+            await until(lambda: connection.unsolicited)
+            recorded.set()
+            assert outcomes(await bench.ended.get()) == [O.CONNECT_FAILED]
+            assert peer.answers == [FULL] and not bench.receiver.idle
+
+    drive(story())
+
+
 def test_log_tells_which_calls_came_before_unsolicited_bytes(caplog):
     """Guards against answers that count for the wrong call with nothing in the log that tells of it."""
 
