Believe no answer ahead of a call's last byte on a used connection

Cause: an answer that begins while the call is still being written counts as its answer, since an endpoint may answer early; on a connection that carried another call before it may as well be a copy of that one's answer. Found by going through the paths on which an answer is matched to a call; not seen in the records. Change: there it is a foreign answer: the call may have run, its connection is closed. On a new connection nothing changes. Measured: the new test fails in both cases before, and passes now.

--- a/rainpier/attempt/table.py
+++ b/rainpier/attempt/table.py
@@ -10,7 +10,8 @@
 - from the first byte on an end of the connection before the last byte is proof that it never ran; after it,
   none;
 - a first line of 200 is true whatever comes behind it, and also ahead of the last byte: an endpoint may
-  answer before it has read all. It stands for a call of one message; of several, each has its own word in
+  answer before it has read all. Not so ahead of the last byte on a connection that carried another call
+  before: there it may be a copy of that one's answer, and proves nothing. It stands for a call of one message; of several, each has its own word in
   the body;
 - what is called off or timed out is closed at once, so that no byte of it leaves any more.
 
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from ... import interface as i
-from ...attempt.table import Attempt, Event
+from ...attempt.table import Attempt, Event, State
 from ...interface import Outcome
 from ...store.entry import Entry
 from .answers import Ending, ForeignAnswer, read_ending, told_wait
@@ -190,6 +190,8 @@
                     call.connection, call.uses = connection.number, connection.uses + 1
                     connection.carried = tuple(entry.id for entry in call.entries)
                     await connection.send(self.request(call), self.most_answer(call))
+                    if call.uses > 1 and connection.status:
+                        raise ForeignAnswer("it came ahead of the call's last byte, on a used connection")
                     call.attempt.feed(Event.SENT)
                     ids, answer = [entry.id for entry in call.entries], await connection.answer()
                     ending = read_ending(ids, answer, self.s.report_fields, call.uses > 1)
@@ -229,7 +231,10 @@
     def broken(self, call: Call, connection: Connection | None, event: Event) -> Ending:
         """It ended without a whole answer: the table knows what that proves."""
         if connection is not None and connection.status == 200 and len(call.entries) == 1:
-            call.attempt.feed(Event.ACCEPT)  # true whatever became of the rest, and of our own last bytes
+            if call.uses == 1 or call.attempt.state is State.WRITTEN:
+                call.attempt.feed(Event.ACCEPT)  # true whatever became of the rest, and of our own last bytes
+            else:
+                event = Event.SPOILT  # ahead of our last byte: as likely a copy of the last call's answer
         outcome = call.attempt.feed(event)
         assert outcome is not None  # each event that comes here ends an attempt
         # Guards against machines that vanished: what is written on their old connections may have run for all
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -17,6 +17,8 @@
 from rainpier.interface import Outcome as O
 from rainpier.store.entry import Entry
 
+LARGE = 30_000_000  # bytes, more than the sockets' buffers hold
+
 
 def entries(*names):
     return [
@@ -184,7 +186,7 @@
 
         server = await asyncio.start_server(slam, "127.0.0.1", 0, limit=1024)
         port = server.sockets[0].getsockname()[1]
-        ending = await Bench(port).call("a", body=b"x" * 30_000_000)
+        ending = await Bench(port).call("a", body=b"x" * LARGE)
         assert outcomes(ending) == [O.CONNECT_FAILED]
         server.close()
 
@@ -606,6 +608,33 @@
     drive(story())
 
 
+@pytest.mark.parametrize("breaks", [False, True])
+def test_answer_ahead_of_a_calls_last_byte_on_a_used_connection_proves_nothing(breaks):
+    """Guards against a copy of the last answer that comes while a large call is still being written."""
+
+    async def story():
+        async def serve(reader, writer):
+            await reader.readuntil(b"body\xff")
+            writer.write(GOOD)
+            await reader.readexactly(1000)
+            writer.write(GOOD)
+            await asyncio.sleep(0.2)  # the copy is read ahead of the last byte
+            if not breaks:
+                await reader.readexactly(LARGE - 1000)
+                await reader.read()
+
+        peer = Peer()
+        peer.serve = serve
+        async with peer:
+            bench = Bench(peer.port)
+            await bench.call("a")
+            await bench.settled()
+            assert outcomes(await bench.call("b", body=b"x" * LARGE)) == [O.ERROR]
+            assert not bench.receiver.idle
+
+    drive(story())
+
+
 def test_log_tells_which_calls_came_before_unsolicited_bytes(caplog):
     """Guards against answers that count for the wrong call with nothing in the log that tells of it."""
 
