Suspend the reuse of an endpoint's connections once it sent more than its answers

Cause: nothing in HTTP/1.1 tells a late copy from the next answer, and an endpoint, or a proxy before it, that was seen to send copies was trusted again at once. Change: after unsolicited bytes or a foreign answer an endpoint's idle connections are closed, and for 60 s each of its connections carries one call; what comes behind that meets no other call. Other endpoints are not touched. Measured: the new test passes; it can't pass before, as connections were kept.

--- a/rainpier/attempt/table.py
+++ b/rainpier/attempt/table.py
@@ -11,8 +11,8 @@
   none;
 - a first line of 200 is true whatever comes behind it, and also ahead of the last byte: an endpoint may
   answer before it has read all. Not so ahead of the last byte on a connection that carried another call
-  before: there it may be a copy of that one's answer, and proves nothing. It stands for a call of one message; of several, each has its own word in
-  the body;
+  before: there it may be a copy of that one's answer, and proves nothing. It stands for a call of one
+  message; of several, each has its own word in the body;
 - what is called off or timed out is closed at once, so that no byte of it leaves any more.
 
 HTTP goes by the whole table. AMQP shares it up to the last byte; behind that each publish has a word of its
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -28,6 +28,7 @@
     NO_ANSWER = "no_answer"  # its exchange was given up, broke off or can't be read
     IDLE_TOO_LONG = "idle_too_long"
     NOT_SETTLED = "not_settled"  # the next request comes too soon behind its last answer
+    REUSE_SUSPENDED = "reuse_suspended"  # its endpoint sent more than its answers not long ago
     RELEASED = "released"  # its endpoint drains, moved or failed, or the policy wants it closed
     DESCRIPTORS = "descriptor_limit"
 
--- a/rainpier/carriers/http/idle.py
+++ b/rainpier/carriers/http/idle.py
@@ -5,11 +5,15 @@
 
 from .connection import CloseReason, Connection
 
+SUSPENSION = 60.0  # s without reuse at an endpoint that sent more than its answers
+OUT_OF_STEP = (CloseReason.UNSOLICITED, CloseReason.FOREIGN_ANSWER)
+
 
 class Endpoint(Protocol):
     """What owns idle connections."""
 
     host: str
+    single_use_until: float  # loop time, s, until which its connections carry one call each
     idle: list[Connection] | None  # the one used last is last; None until there is one
 
 
@@ -28,6 +32,8 @@
         return len(self.owners)
 
     def keep(self, owner: Endpoint, connection: Connection) -> None:
+        if self.loop.time() < owner.single_use_until:
+            return connection.end(CloseReason.REUSE_SUSPENDED, owner.host)
         connection.park(self.on_lost)
         if owner.idle is None:
             owner.idle = []
@@ -45,7 +51,7 @@
                 return connection
             aged = connection.parked_at <= oldest
             reason = CloseReason.IDLE_TOO_LONG if aged else CloseReason.CLOSED_BY_PEER
-            connection.end(CloseReason.UNSOLICITED if connection.unsolicited else reason, owner.host)
+            self.close(owner, connection, CloseReason.UNSOLICITED if connection.unsolicited else reason)
         return None
 
     @staticmethod
@@ -63,7 +69,18 @@
             return
         if owner.idle:
             owner.idle.remove(connection)
+        self.close(owner, connection, reason)
+
+    def close(self, owner: Endpoint, connection: Connection, reason: CloseReason) -> None:
+        """Close a connection that is not idle any more.
+
+        An endpoint, or a proxy before it, that sends more than its answers may do so after any time: a copy
+        that comes after the settling time is no answer to another call where each connection has one.
+        """
         connection.end(reason, owner.host)
+        if reason in OUT_OF_STEP:
+            owner.single_use_until = self.loop.time() + SUSPENSION
+            self.drop_all(owner, CloseReason.REUSE_SUSPENDED)
 
     def drop_oldest(self) -> None:
         self.drop(next(iter(self.owners)), CloseReason.DESCRIPTORS)
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -55,6 +55,7 @@
     listed: i.Listed
     batch: int
     told_at: float = math.inf  # loop time at which it was told to drain or be gone
+    single_use_until: float = 0.0  # loop time until which its connections carry one call each
     idle: list[Connection] | None = None  # None until there is one: most receivers are never called
     calls: int = 0  # open ones
     broker: "Carrier | None" = None  # what carries its calls, where that is not HTTP
@@ -267,7 +268,7 @@
         if reason is None:
             self.idle.keep(receiver, connection)
         else:
-            connection.end(reason, receiver.host)
+            self.idle.close(receiver, connection, reason)
 
     def close_idle(self, receiver: Receiver) -> None:
         self.idle.drop_all(receiver, CloseReason.RELEASED)
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -11,6 +11,7 @@
 
 from rainpier import interface as i
 from rainpier.attempt.table import State
+from rainpier.carriers.http import idle
 from rainpier.carriers.http.answers import load_report, told_wait
 from rainpier.carriers.http.receivers import Call, Receivers, batches
 from rainpier.config.platform import settings
@@ -608,6 +609,27 @@
     drive(story())
 
 
+def test_an_endpoint_that_sent_more_than_its_answer_gets_one_call_a_connection(monkeypatch):
+    """Guards against a second copy that comes after the settling time, from an endpoint that is known to send them."""
+    monkeypatch.setattr(idle, "SUSPENSION", 1.0)
+
+    async def story():
+        async with HttpPeer(lambda request, body: (200, [], b"")) as peer:
+            bench = Bench(peer.port)
+            await asyncio.gather(bench.call("a"), bench.call("b"))
+            (writer, _) = peer.writers
+            writer.write(GOOD)
+            await until(lambda: not bench.receiver.idle)  # also the other one
+            await bench.call("c")
+            assert not bench.receiver.idle and peer.accepted == 3
+            loop = asyncio.get_running_loop()
+            await until(lambda: loop.time() > bench.receiver.single_use_until)
+            await bench.call("d")
+            assert len(bench.receiver.idle) == 1
+
+    drive(story())
+
+
 @pytest.mark.parametrize("breaks", [False, True])
 def test_answer_ahead_of_a_calls_last_byte_on_a_used_connection_proves_nothing(breaks):
     """Guards against a copy of the last answer that comes while a large call is still being written."""
