Draw the plans of the earlier fault kinds as they were

Change: the draws stand in the block of the answers; with a recovering destination the list is right.

--- a/tests/standins/faults/plan.py
+++ b/tests/standins/faults/plan.py
@@ -81,14 +81,15 @@
         plan.answer_time = (0.01, chance.uniform(0.1, 0.3))
         plan.gap = chance.uniform(0.01, 0.03)
         plan.span = (2.0, 6.0)
+        if "recovery" not in kinds:  # a destination that returns takes what is listed
+            plan.capacity = chance.choice([CAPACITY, 10 * CAPACITY, 10 * CAPACITY])
+        plan.to_first = chance.choice([0.0, 0.8, 0.8])
     plan.drain_at = chance.uniform(1.0, 5.0) if chance.random() < 0.5 else None
     if "recovery" in kinds:
         since = chance.uniform(0.5, 1.5)
         plan.outage = (chance.choice([1, 2, 3]), since, since + chance.uniform(1.0, 2.5))
         plan.gap = chance.uniform(0.02, 0.04)
         plan.span = (2.0, 6.0)
-        plan.capacity = chance.choice([CAPACITY, 10 * CAPACITY, 10 * CAPACITY])
-        plan.to_first = chance.choice([0.0, 0.8, 0.8])
     for n in range(plan.senders):
         plan.rules[n] = [rule for one in kinds for rule in rules_of(one, chance)]
         if "signals" in kinds or "start" in kinds or "torn" in kinds or chance.random() < 0.5:
