--- a/rainpier/carriers/http/exchange.py
+++ b/rainpier/carriers/http/exchange.py
@@ -21,6 +21,7 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    certain: bool = True  # not so on a connection that had not settled: it may be a copy of an earlier answer
 
 
 class Exchange:
--- a/rainpier/sinks/notices.py
+++ b/rainpier/sinks/notices.py
@@ -32,6 +32,7 @@
         self.go()
 
     async def tell(self, batch: list[Entry]) -> bool:
+        self.unconfirmed = False
         body = b"".join(json.dumps(notice(entry)).encode() + b"\n" for entry in batch)
         try:
             answer = await self.client.request("POST", TARGET, body, TIMEOUT)
@@ -39,6 +40,7 @@
             log.warning("notices: %r; telling them again", error)
             return False
         self.unreadable = answer.status == 400
+        self.unconfirmed = answer.status == 204 and not answer.certain
         if answer.status != 204:
             log.warning("notices: answered %d; telling them again", answer.status)
-        return answer.status == 204
+        return answer.status == 204 and answer.certain
--- a/rainpier/sinks/sink.py
+++ b/rainpier/sinks/sink.py
@@ -12,6 +12,7 @@
 log = logging.getLogger(__name__)
 PAUSES = (0.02, 0.05, 0.1, 0.2, 0.5)  # s between tries of the same notices
 MOST = 200  # notices told at once, so that a request's body holds them
+UNCONFIRMED_PAUSE = 0.05  # s until what was told with no certain answer is told again
 ASIDE = 5.0  # s until an end that could not be read is told again
 
 
@@ -29,6 +30,7 @@
         self.waiting: dict[int, Entry] = {}  # by message number, in the order of their ends
         self.most = MOST  # told at once: fewer while some of them can't be read
         self.unreadable = False  # what was told last was answered so: again would fare no better
+        self.unconfirmed = False  # what was told last was heard, it seems: it is told again soon, to be sure
         self.aside: dict[int, Entry] = {}  # single ones that were: told again now and then, behind the others
         self.some = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -86,6 +88,8 @@
                     self.some.clear()
             elif self.unreadable:
                 self.narrow(batch)
+            elif self.unconfirmed:
+                await asyncio.sleep(UNCONFIRMED_PAUSE)
             else:
                 await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
                 failures += 1
