--- a/tests/faults/test_answers.py
+++ b/tests/faults/test_answers.py
@@ -1,4 +1,7 @@
-"""Fleets of real processes whose receivers and agents send more than their answers: no rule is broken."""
+"""Fleets of real processes whose receivers and agents send more than their answers: no rule is broken.
+
+All runs are played once, side by side; each test looks at its own.
+"""
 
 import asyncio
 
@@ -9,13 +12,8 @@
 from standins.faults.shim import build
 from standins.faults.strays import StrayPlan
 
-SEEDS = (2, 5, 7)
 COPY_TIME = 0.01  # s behind an answer in which its copy comes
-
-
-@pytest.fixture(scope="module")
-def library(tmp_path_factory):
-    return build(tmp_path_factory.mktemp("shim"))
+COPIES = {"delay": (COPY_TIME, COPY_TIME), "at_next": True}
 
 
 def busy_plan(seed, **strays):
@@ -26,27 +24,43 @@
     )  # fmt: skip
 
 
-def play_all(plans, library):
+PLANS = {
+    "calls": [busy_plan(1, share=1.0, **COPIES), busy_plan(2, share=0.1, **COPIES)],
+    "notices": [busy_plan(3, share=0.5, dropped=1.0, at_agents=True, **COPIES)],
+    "fleets": [*(draw(seed, "answers") for seed in (2, 5)), draw(321, "answers+mixed")],
+}
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory):
+    """By the name of its plans: each run's plan, findings and summary."""
+    library = build(tmp_path_factory.mktemp("shim"))
+
+    async def one(name, plan):
+        return name, plan, *await play(plan, library)
+
     async def side_by_side():
-        return await asyncio.gather(*(play(plan, library) for plan in plans))
+        return await asyncio.gather(*(one(name, plan) for name, plans in PLANS.items() for plan in plans))
+
+    results = asyncio.run(side_by_side())
+    return {name: [result for result in results if result[0] == name] for name in PLANS}
+
 
-    results = zip(plans, asyncio.run(side_by_side()), strict=True)
-    broken = [f"{plan}\n  {summary}\n  {found}" for plan, (found, summary) in results if found]
+def check(results):
+    broken = [f"{plan}\n  {summary}\n  {found}" for _, plan, found, summary in results if found]
     assert not broken, "\n".join(broken)
 
 
-def test_second_copy_of_an_answer_counts_for_no_other_call(library):
+def test_second_copy_of_an_answer_counts_for_no_other_call(played):
     """Guards against duplicates, losses and broken order where an answer's copy comes while the next call is out."""
-    copies = {"delay": (COPY_TIME, COPY_TIME), "at_next": True}
-    play_all([busy_plan(1, share=1.0, **copies), busy_plan(2, share=0.1, **copies)], library)
+    check(played["calls"])
 
 
-def test_second_copy_of_a_notices_answer_loses_no_notice(library):
+def test_second_copy_of_a_notices_answer_loses_no_notice(played):
     """Guards against a notice that nobody read, and that a copy of an earlier notice's answer stands for."""
-    copies = {"delay": (COPY_TIME, COPY_TIME), "at_next": True, "at_agents": True}
-    play_all([busy_plan(3, share=0.5, dropped=1.0, **copies)], library)
+    check(played["notices"])
 
 
-def test_no_rule_is_broken_under_copies_and_noise_behind_answers(library):
-    """Guards against the same in fleets of several senders, some of which are restarted."""
-    play_all([draw(seed, "answers") for seed in SEEDS], library)
+def test_no_rule_is_broken_under_copies_and_noise_behind_answers(played):
+    """Guards against the same in fleets of several senders, some of which are restarted while calls fail."""
+    check(played["fleets"])
