Begin at the ramp after a restart where calls of the last process had failed

Cause: its senders were killed 0.6 s into the outage; an outage counts as one a second after the last success at the earliest, so none was remembered, and the new processes began at the listed rate. Change: where messages that an earlier process left have three or more attempts behind them that may have run, their destination, if a rate is listed, begins at the ramp. The naive policy too.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -367,6 +367,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rng, self.seed = settings, random.Random(seed), seed
         self.live: dict[int, Message] = {}  # all that is owed an answer
+        self.failed_before: Counter[int] = Counter()  # by destination: attempts of an earlier process
         self.taken = 0  # messages so far: their order
         self.calls: dict[tuple[int, int], tuple[Call, int]] = {}  # with the key of an ordered message
         self.sent, self.overdue = 0, Schedule[int]()  # calls so far; those that are out, by number
@@ -628,6 +629,8 @@
         # Guards what a restart finds untried against staying so: its aim went by while nobody could try it,
         # and behind all that comes fresh it would wait for its deadline. It is on time until its first try.
         message.renewed = not event.attempts
+        if event.risky_at < math.inf and not event.interrupted:
+            self.distrust(message.dest, event.attempts)
         if event.interrupted:  # as after a reset: the next try waits, and the key rests
             message.wait = self.draw(message.wait)
             message.not_before = self.now + max(message.wait, self.s.turn_gap)
@@ -681,6 +684,14 @@
                 route.fails, route.cold_at = FAILS, self.now
             self.touched[self.homes[event.endpoint]] = None
 
+    def distrust(self, dest: int, attempts: int) -> None:
+        """Guards a destination whose outage an earlier process met, and did not live to see as one."""
+        self.failed_before[dest] += attempts
+        if self.failed_before[dest] >= FAILS:
+            for route in self.routes.get(dest, ()):
+                if route.vouched and not route.is_cold(self.now):
+                    route.cold_at = self.now
+
     def on_stalled(self, event: i.Stalled) -> None:
         """Guards messages against tries that can't begin: each would count, and the last one ends them."""
         self.stalled = event.on
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -120,6 +120,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rng, self.seed = settings, random.Random(seed), seed
         self.live: dict[int, Message] = {}  # all that is owed an answer
+        self.failed_before: dict[int, int] = {}
         self.calls: dict[tuple[int, int], tuple[Call, int]] = {}  # with the key of an ordered message
         self.endpoints: dict[int, Endpoint] = {}
         self.routes: dict[int, list[Route]] = {}  # by destination
@@ -227,6 +228,12 @@
         message.attempts = event.attempts
         message.risky_at, message.risky_zone = event.risky_at, event.risky_zone
         message.renewed = not event.attempts
+        if event.risky_at < math.inf and not event.interrupted:
+            self.failed_before[message.dest] = self.failed_before.get(message.dest, 0) + event.attempts
+            if self.failed_before[message.dest] >= FAILS:
+                for route in self.routes.get(message.dest, ()):
+                    if route.vouched and not route.is_cold(self.now):
+                        route.cold_at = self.now
         if event.interrupted:  # as after a reset: the next try waits, and the key rests
             message.wait = self.draw(message.wait)
             message.not_before = self.now + max(message.wait, self.s.turn_gap)
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -91,14 +91,36 @@
         assert len(out) > 1
         return
     assert len(out) == 1  # a trial
-    calls = []
     rig.result(out[0], i.Outcome.OK)
+    assert 0 < calls_within_fall(rig) <= budget()
+
+
+def budget():
+    """Calls that the destination takes in the first FALL ms of its return."""
+    most = FACTOR * allowed(FALL / 2) * FALL / 1000
+    return most + 3 * (most**0.5 + 1)
+
+
+def calls_within_fall(rig):
+    """While each call is delivered at once."""
+    calls = 0
     while rig.now < T0 + FALL:
-        for action in rig.do(after=10.0):
-            if isinstance(action, i.Send):
-                calls.append(rig.now)
+        calls += sum(isinstance(action, i.Send) for action in rig.do(after=10.0))
         for message, live in list(rig.sender.live.items()):
             if live.out:
                 rig.result(message, i.Outcome.OK, after=0.0)
-    most = FACTOR * allowed(FALL / 2) * FALL / 1000
-    assert 0 < len(calls) <= most + 3 * (most**0.5 + 1)
+    return calls
+
+
+@pytest.mark.parametrize(("failed", "ramped"), [(3, True), (0, False)])
+def test_a_new_process_begins_at_the_ramp_where_calls_of_the_last_one_failed(failed, ramped):
+    """Guards against a process that is killed right at the start of an outage, and overloads what returns."""
+    rig = Rig(slots=16, senders=1, cold=COLD, cold_from=FROM, overload_factor=FACTOR, fall=FALL)
+    rig.do(i.ListChange(i.ListKind.FULL, (i.Listed(7, 1, rate=RATE),)))
+    for message in range(1, 101):
+        arrival = i.Arrival(message, 0, 1, rig.now + 60_000.0, 0)
+        attempts = int(message <= failed)
+        risky_at = rig.now - 500.0 if attempts else float("inf")
+        rig.tries[message] = attempts
+        rig.do(i.Resumed(arrival, attempts, risky_at, 0, False, False, i.Effect.SAFE, "all", 0.0))
+    assert (calls_within_fall(rig) <= budget()) is ramped
