--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -41,3 +41,10 @@
     """Guards against a new process that does not know how cold a destination is, and overloads it."""
     findings, summary = asyncio.run(play(draw(seed, kind), library))
     assert not findings, f"{summary}\n  {findings}"
+
+
+@pytest.mark.parametrize("seed", [390])
+def test_notices_come_in_time_while_send_fails(library, seed):
+    """Guards against ends that come late because every send() of the process fails for longer than they have."""
+    findings, summary = asyncio.run(play(draw(seed, "sockets"), library))
+    assert not findings, f"{summary}\n  {findings}"
