--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import Platform, Receiver, Record, SidecarProcess, response, run_case
 
-ORDERS = 12
+ORDERS = 24
 LIFE = 15_000  # ms for which an order may be delivered
 WINDOW_S = 60.0  # for which a zone remembers the key of an order
 CONFIG = """version = 1
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 
 MEMORY_MB = 192  # the largest limit of the scored days (DEPLOY, Limits)
 HEALTHY, BAD = 3, 4  # destinations
+LINE = 16_000  # bytes of a line of the trailer
 SPOILT_S = 8.0  # after which the receiver ends the answer by itself
 
 
@@ -31,16 +32,16 @@
         spoilt = True
         record("bad: an answer begins that never ends")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
-        written, line = 0, b"X-Report-%d: " + b"v" * 8000 + b"\r\n"
+        written, line = 0, b"X-Report-%d: " + b"v" * LINE + b"\r\n"
         try:
             async with asyncio.timeout(SPOILT_S):
                 while True:
-                    block = b"".join(line % (written + n) for n in range(16))
-                    written += 16
+                    block = b"".join(line % (written + n) for n in range(32))
+                    written += 32
                     writer.write(block)
                     await writer.drain()
         except (OSError, TimeoutError) as error:
-            record(f"bad: the answer has ended after {written * 8016 / 1e6:.0f} MB: {type(error).__name__}")
+            record(f"bad: the answer has ended after {written * LINE / 1e6:.0f} MB: {type(error).__name__}")
         return None
 
     receivers = [Receiver("healthy", record, good), Receiver("bad", record, one_spoilt)]
