--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 3: an answer with a trailer that never ends takes the sender over its memory limit."""
+"""Case 3: answers with trailers that never end take the sender over its memory limit."""
 
 import asyncio
 import sys
@@ -9,6 +9,7 @@
 
 MEMORY_MB = 192  # the largest limit of the scored days (DEPLOY, Limits)
 HEALTHY, BAD = 3, 4  # destinations
+SPOILT_ANSWERS = 4  # the first ones of the bad receiver, one after another
 LINE = 16_000  # bytes of a line of the trailer
 SPOILT_S = 8.0  # after which the receiver ends the answer by itself
 
@@ -17,19 +18,19 @@
     """Runs the case; returns 1 if the sender needed more memory than it may have, or ended."""
     platform = Platform(record)
     await platform.start()
-    spoilt = False
+    spoilt = 0
 
     async def good(ids: list[str], writer: asyncio.StreamWriter) -> bytes:
         await asyncio.sleep(0.1)
         return response(200)
 
-    async def one_spoilt(ids: list[str], writer: asyncio.StreamWriter) -> bytes | None:
-        """Answers the first call with a chunked answer that goes on after its last chunk."""
+    async def some_spoilt(ids: list[str], writer: asyncio.StreamWriter) -> bytes | None:
+        """Answers the first calls with chunked answers that go on after their last chunk."""
         nonlocal spoilt
         await asyncio.sleep(0.1)
-        if spoilt or not trouble:
+        if spoilt >= SPOILT_ANSWERS or not trouble:
             return response(200)
-        spoilt = True
+        spoilt += 1
         record("bad: an answer begins that never ends")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
         written, line = 0, b"X-Report-%d: " + b"v" * LINE + b"\r\n"
@@ -44,7 +45,7 @@
             record(f"bad: the answer has ended after {written * LINE / 1e6:.0f} MB: {type(error).__name__}")
         return None
 
-    receivers = [Receiver("healthy", record, good), Receiver("bad", record, one_spoilt)]
+    receivers = [Receiver("healthy", record, good), Receiver("bad", record, some_spoilt)]
     for receiver, dest in zip(receivers, (HEALTHY, BAD), strict=True):
         await receiver.start()
         await platform.set_host(receiver.name, receiver.address, dest, "small-customer")
@@ -57,7 +58,7 @@
         before = sender.memory_mb()
         client: Client = sender.client()
         for number in range(20):
-            dest = BAD if number == 5 else HEALTHY
+            dest = BAD if number % 2 else HEALTHY
             assert await client.put(f"{number + 1:016x}", "thumb-ready", dest, 5000) == "+OK"
             await asyncio.sleep(0.2)
         peak = before
