Fail a response whose trailers or chunk framing never end, and discard trailers

Cause: the limit on a response's headers counted bytes only until the headers were complete, the one on its body only the body's. What stands outside of both, trailers, chunk extensions and chunk sizes, had no limit but 0.5 s of time. Trailer lines were stored as headers. Change: one limit of 16 KiB on what comes in a row without a byte of the body, before, within and after it. Trailers are no longer stored: none is defined for these responses, and they must not pass for headers (RFC 9110, 6.5.1). It holds for calls, discovery and completions, which share the exchange. AMQP's frames and contents have limits.

--- a/rainpier/carriers/http/exchange.py
+++ b/rainpier/carriers/http/exchange.py
@@ -5,7 +5,9 @@
 
 import httptools
 
-MAX_HEADER_BYTES = 16384  # bytes ahead of a response's body, including the headers of all 1xx responses
+# Bytes of a response received in a row without a byte of its body: headers, those of 1xx responses included,
+# and behind the headers chunk sizes, chunk extensions and trailers.
+MAX_OVERHEAD_BYTES = 16384
 PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
@@ -40,7 +42,7 @@
         self.response.add_done_callback(lambda f: f.cancelled() or f.exception())
         self.headers: dict[str, str] = {}
         self.body = bytearray()
-        self.header_bytes = 0  # received before the final response's headers were complete
+        self.overhead_bytes = 0  # received in a row without a byte of the body, see MAX_OVERHEAD_BYTES
         # Whether the final response's headers are complete; whether the connection may carry another exchange
         # after it; whether bytes came beyond it.
         self.in_body = self.reusable = self.extra_bytes = False
@@ -64,7 +66,8 @@
             self.headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.response.done():
+        # Trailers are discarded: none is defined for these responses (RFC 9110, 6.5.1).
+        if not self.in_body and not self.response.done():
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -95,9 +98,10 @@
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; a response that breaks a limit fails, and later bytes count as extra."""
-        if self.response.done():  # such as a duplicate of the response: they belong to no request
+        if self.response.done():  # such as a duplicate of the response
             self.extra_bytes = True
             return
+        progress = self.progress
         try:
             self.parser.feed_data(data)
         except PARSE_ERRORS as error:
@@ -105,11 +109,12 @@
             self.fail(MalformedResponse(str(error)))
         if self.response.done():
             return
-        self.header_bytes += 0 if self.in_body else len(data)
-        if self.header_bytes > MAX_HEADER_BYTES:
+        self.overhead_bytes = 0 if self.progress > progress else self.overhead_bytes + len(data)
+        if self.overhead_bytes > MAX_OVERHEAD_BYTES:
+            part = "trailers or chunk framing" if self.in_body else "headers"
             self.fail(
                 MalformedResponse(
-                    f"response headers take {self.header_bytes} bytes, the limit is {MAX_HEADER_BYTES}"
+                    f"response {part} take {self.overhead_bytes} bytes, the limit is {MAX_OVERHEAD_BYTES}"
                 )
             )
         elif self.timer is None:
@@ -120,6 +125,11 @@
                 MalformedResponse(f"response not complete {self.response_timeout} s after its first byte"),
             )
 
+    @property
+    def progress(self) -> tuple[bool, int]:
+        """How far the final response has come: whether its headers are complete, and its body's bytes."""
+        return self.in_body, len(self.body)
+
     def eof(self) -> None:
         """Handles the end of the stream, which completes a response without a length and fails any other."""
         framed = {"content-length", "transfer-encoding"} & self.headers.keys()
