Free what a failed response holds at once, not at the next garbage collection

Cause: exchange and parser refer to each other, so that both, with headers and body, wait for the garbage collector. In the client of discovery and completions a failed exchange stayed with its closed connection as well, which the exception's traceback refers to: up to 4 MiB for each failed request for the list. Change: the exchange drops its parser with its result and remembers the status; the client ends each exchange with its request, as calls do already.

--- a/rainpier/carriers/http/client.py
+++ b/rainpier/carriers/http/client.py
@@ -94,7 +94,7 @@
         Raises TimeoutError or one of EXCHANGE_ERRORS.
         """
         io_timeout = timeout if io_timeout is None else io_timeout
-        reason: CloseReason | None = CloseReason.NO_ANSWER
+        answered = False
         try:
             async with asyncio.timeout(timeout):
                 self.busy, matched = await self.connect(io_timeout)
@@ -104,9 +104,10 @@
                 await connection.send(format_request(method, target, [host], body), self.max_body, io_timeout)
                 response = await connection.receive()
                 response.matched = matched
-                reason = connection.end_exchange()
+                answered = True
                 return response
         finally:
             if self.busy is not None:
-                self.release(self.busy, reason)
+                reason = self.busy.end_exchange()
+                self.release(self.busy, reason if answered else CloseReason.NO_ANSWER)
                 self.busy = None
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -156,7 +156,7 @@
             if self.unsolicited:
                 return CloseReason.UNSOLICITED
             return CloseReason.CLOSED_BY_PEER if self.closed or self.eof else None
-        exchange.stop_timer()
+        exchange.end()
         if exchange.extra_bytes:
             self.unsolicited = True
         return self.reason_not_reusable(exchange)
@@ -223,7 +223,7 @@
         """Aborts the transport, so that bytes which are still unwritten are never sent."""
         self.on_unusable = None
         if self.exchange is not None:
-            self.exchange.stop_timer()
+            self.exchange.end()
         if self.transport is not None and not self.closed:
             self.closed = True
             self.transport.abort()
--- a/rainpier/carriers/http/exchange.py
+++ b/rainpier/carriers/http/exchange.py
@@ -31,12 +31,15 @@
 class Exchange:
     """Collects one response from the connection's bytes; httptools calls the on_... methods.
 
-    `max_body`: bytes; `response_timeout`: s from the response's first byte to its last.
+    `max_body`: bytes; `response_timeout`: s from the response's first byte to its last. The parser refers to
+    the exchange; the exchange drops the parser with its result, so that what it holds is freed with the last
+    reference to it and does not wait for the garbage collector.
     """
 
     def __init__(self, max_body: int, response_timeout: float) -> None:
         self.max_body, self.response_timeout = max_body, response_timeout
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.final_status = 0  # the status once the parser is dropped
         self.response: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
         # Marks the exception as retrieved: where sending fails first, nobody awaits the response.
         self.response.add_done_callback(lambda f: f.cancelled() or f.exception())
@@ -51,7 +54,7 @@
     @property
     def status(self) -> int:
         """Status code once the status line is parsed, even if a header after it is malformed; else 0."""
-        return self.parser.get_status_code()
+        return self.final_status if self.parser is None else self.parser.get_status_code()
 
     @property
     def has_response(self) -> bool:
@@ -90,7 +93,7 @@
                 )
 
     def on_message_complete(self) -> None:
-        if self.in_body and not self.response.done():
+        if self.parser is not None and self.in_body and not self.response.done():
             self.reusable = self.parser.should_keep_alive()
             self.complete()
 
@@ -98,7 +101,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; a response that breaks a limit fails, and later bytes count as extra."""
-        if self.response.done():  # such as a duplicate of the response
+        if self.parser is None or self.response.done():  # such as a duplicate of the response
             self.extra_bytes = True
             return
         progress = self.progress
@@ -139,18 +142,21 @@
 
     def complete(self) -> None:
         """Makes the response the exchange's result."""
-        self.stop_timer()
+        self.end()
         if not self.response.done():
             self.response.set_result(Response(self.status, self.headers, bytes(self.body)))
 
     def fail(self, error: Exception) -> None:
         """Makes `error` the result, unless there is one: later bytes cannot undo a complete response."""
-        self.stop_timer()
+        self.end()
         if not self.response.done():
             self.response.set_exception(error)
 
-    def stop_timer(self) -> None:
-        """Cancels the timeout of the response."""
+    def end(self) -> None:
+        """Stops the parsing and the timeout; later bytes count as extra. Has no effect the second time."""
+        if self.parser is not None:
+            self.final_status = self.parser.get_status_code()
+            self.parser = None
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/tests/test_endless_response.py
+++ b/tests/test_endless_response.py
@@ -1,18 +1,26 @@
-"""Responses that never end: they fail, and memory holds little of them."""
+"""Responses that never end: memory holds little of them, and nothing once their exchange has failed."""
 
+import asyncio
 import gc
 import tracemalloc
+import weakref
 from contextlib import contextmanager
+from itertools import count
 
 import pytest
-from peers import run_with_timeout
+from peers import TcpServer, run_with_timeout, wait_until
+from test_receivers import GOOD, ReceiversFixture, outcomes
 
+from rainpier.carriers.http import connection as connection_module
+from rainpier.carriers.http.client import Client
 from rainpier.carriers.http.connection import READ_SIZE
 from rainpier.carriers.http.exchange import (
+    EXCHANGE_ERRORS,
     MAX_OVERHEAD_BYTES,
     Exchange,
     MalformedResponse,
 )
+from rainpier.interface import Outcome as O
 
 MAX_BODY = 4096  # bytes
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -105,3 +113,80 @@
         assert exchange.reusable and not exchange.extra_bytes
 
     run_with_timeout(scenario())
+
+
+class EndlessPeer(TcpServer):
+    """Answers each request with headers, a body and trailers that never end."""
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(CHUNKED + b"2\r\nok\r\n0\r\n")
+        for number in count():
+            writer.write(header_lines(number))
+            await writer.drain()
+
+
+def record_exchanges(monkeypatch):
+    """Makes connections record their exchanges; returns the list, of weak references."""
+    exchanges = []
+
+    class RecordedExchange(Exchange):
+        def __init__(self, max_body, response_timeout):
+            super().__init__(max_body, response_timeout)
+            exchanges.append(weakref.ref(self))
+
+    monkeypatch.setattr(connection_module, "Exchange", RecordedExchange)
+    return exchanges
+
+
+# Guards against failed responses that stay in memory until the garbage collector finds them.
+@pytest.mark.parametrize(("names", "outcome"), [(("a",), O.OK), (("a", "b"), O.ERROR)])
+def test_failed_response_to_a_call_is_freed_without_the_garbage_collector(names, outcome, monkeypatch):
+    async def scenario():
+        exchanges = record_exchanges(monkeypatch)
+        async with EndlessPeer() as peer:
+            fixture = ReceiversFixture(peer.port)
+            with traced_memory():
+                for _ in range(5):
+                    assert set(outcomes(await fixture.call(*names))) == {outcome}
+                await wait_until(lambda: not any(exchange() for exchange in exchanges))
+            assert len(exchanges) == 5
+
+    run_with_timeout(scenario())
+
+
+# The same in the client of discovery and of the completion sink, whose responses take up to 4 MiB.
+def test_failed_response_to_a_request_is_freed_without_the_garbage_collector(monkeypatch):
+    async def scenario():
+        exchanges = record_exchanges(monkeypatch)
+        async with EndlessPeer() as peer:
+            client = Client(("127.0.0.1", peer.port), MAX_BODY)
+            with traced_memory():
+                for _ in range(5):
+                    with pytest.raises(EXCHANGE_ERRORS):
+                        await client.request("GET", "/v1/servers", b"", 5.0)
+                await wait_until(lambda: not any(exchange() for exchange in exchanges))
+            assert len(exchanges) == 5 and not client.idle
+
+    run_with_timeout(scenario())
+
+
+# The same where the request's timeout ends an exchange that waits for the rest of a response.
+def test_response_of_a_request_that_timed_out_is_freed_without_the_garbage_collector(monkeypatch):
+    class StallingPeer(TcpServer):
+        async def serve(self, reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(GOOD[:-1])
+            await asyncio.get_running_loop().create_future()
+
+    async def scenario():
+        exchanges = record_exchanges(monkeypatch)
+        async with StallingPeer() as peer:
+            client = Client(("127.0.0.1", peer.port), MAX_BODY)
+            with traced_memory():
+                with pytest.raises(TimeoutError):
+                    await client.request("GET", "/v1/servers", b"", 0.1, io_timeout=5.0)
+                await wait_until(lambda: not any(exchange() for exchange in exchanges))
+            assert len(exchanges) == 1
+
+    run_with_timeout(scenario())
