Keep messages with the destination they were submitted for when its number is given away

Cause: messages were stored with the number of their destination alone. Removing alpha and adding gamma as number 1 are two changes that may be applied at once, but what was held was judged by number, and 1 was still configured. Found beside it by asking where else the number stands for the name: a message in flight over two edits (one removes, the other adds) was repeated at the new destination; a swap of numbers at a start gave retry-after deadlines and outages to the wrong company; AMQP's count of held messages and brokers had the same. Change: store/destinations.py gives each name an id for as long as messages, deadlines or outages refer to it: its number, or one that no file can have where that is still in use. Policy, calls and store work on ids; numbers are translated at admission and in reports. The record of names keeps its form, with the ids that differ. The log names removed destinations with what they held. Why it works: nothing that exists changes its id at an edit, so that what is in flight and what is stored need no rewriting; the new destination has an id that nothing refers to.

--- a/rainpier/fronts/amqp/context.py
+++ b/rainpier/fronts/amqp/context.py
@@ -35,7 +35,12 @@
             entry.reply_to, make_reply(entry.id, outcome, entry.correlation, retry_after_ms), clock()
         )
 
+    def held_for(number: int) -> int:
+        """Returns the number of messages that are held for the destination that clients call `number`."""
+        destination = node.core.destination_id(number)
+        return 0 if destination is None else completions.held_for(destination)
+
     completions.reply_listener = notify
     return SessionContext(
-        build_routes(config), queues, node.submit, completions.held_for, clock, options.without_confirms
+        build_routes(config), queues, node.submit, held_for, clock, options.without_confirms
     )
--- a/rainpier/membership/file.py
+++ b/rainpier/membership/file.py
@@ -1,6 +1,7 @@
 """A source of the endpoints of the configuration file: all at the start, and the changes after each edit."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import replace
 
 from ..config import model as m
@@ -11,13 +12,19 @@
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING}
 
 
-def discovered_endpoints(model: m.Model) -> list[DiscoveredEndpoint]:
-    """Converts the model's endpoints. A name stands for the same server as long as the file contains it."""
+def discovered_endpoints(
+    model: m.Model, destination_ids: Mapping[str, int] | None = None
+) -> list[DiscoveredEndpoint]:
+    """Converts the model's endpoints. A name stands for the same server as long as the file contains it.
+
+    `destination_ids`: the ids in the store, by name; None: the numbers are the ids.
+    """
+    ids = destination_ids or {name: destination.number for name, destination in model.destinations.items()}
     zone = model.fleet.zones[0] if model.fleet.zones else ""
     return [
         DiscoveredEndpoint(
             name=f"{name}/{m.endpoint_name(e)}", address=write_address(e.address), zone=e.zone or zone,
-            kind=e.kind or m.kind_of(model, destination), destination=destination.number,
+            kind=e.kind or m.kind_of(model, destination), destination=ids[name],
             condition=CONDITIONS[e.state], rate=destination.rate or 0.0, started_at=0.0,
         )
         for name, destination in model.destinations.items() for e in destination.endpoints
--- a/rainpier/membership/source.py
+++ b/rainpier/membership/source.py
@@ -17,7 +17,7 @@
     address: str  # HOST:PORT
     zone: str
     kind: str  # name of its kind in the settings
-    destination: int  # number of its destination
+    destination: int  # id of its destination
     condition: Condition
     rate: float  # calls a second that its destination takes from all senders, if the source knows rates
     started_at: float  # Unix time of its start, ms; 0: unknown, long ago
--- a/rainpier/node/admission.py
+++ b/rainpier/node/admission.py
@@ -67,7 +67,8 @@
             known = self.store.entries.get(self.store.state.numbers.get(submission.id, 0))
             self.completions.redirect_reply(known, submission)
             return Duplicate(completion_pending=known is not None and not known.told)
-        if not self.endpoints.serves(submission.destination):  # discovery has not reported it yet
+        destination = self.core.destination_id(submission.destination)
+        if destination is None or not self.endpoints.serves(destination):  # discovery has not reported it yet
             self.record_refusal(submission.id, submission.cls, submission.destination, "not_listed_yet")
             return RetryLater(ADMISSION_RETRY_AFTER)
         full = self.message_count >= self.core.settings.max_open
@@ -75,16 +76,18 @@
             reason = "too_many_held" if full else "no_store_room"
             self.record_refusal(submission.id, submission.cls, submission.destination, reason)
             return RetryLater(ADMISSION_RETRY_AFTER)
-        return self.enqueue(submission).result
+        return self.enqueue(submission, destination).result
 
     def validation_error(self, submission: Submission) -> str:
         """Returns the error text for an invalid submission; "" for a valid one."""
         core, dest = self.core, submission.destination
+        destination = core.destination_id(dest)
         if submission.cls not in core.classes:
             return f"unknown class {submission.cls}"
         if submission.tenant and core.tenants and submission.tenant not in core.tenants:
             return f"unknown tenant {submission.tenant}"
-        if not self.endpoints.serves(dest) and self.discovery_complete():
+        served = destination is not None and self.endpoints.serves(destination)
+        if not served and self.discovery_complete():
             return f"unknown destination {dest}"
         if len(submission.body) > core.config.largest_body:
             return f"body longer than {core.config.largest_body} bytes"
@@ -95,8 +98,11 @@
             return f"field d out of range: {submission.lifetime}"
         return ""
 
-    def enqueue(self, submission: Submission) -> PendingSubmission:
-        """Adds a submission to the next round, as an entry that is not in the store yet."""
+    def enqueue(self, submission: Submission, destination: int) -> PendingSubmission:
+        """Adds a submission to the next round, as an entry that is not in the store yet.
+
+        `destination`: the id of the destination that the submission calls by its number.
+        """
         core, number = self.core, self.store.next_number
         self.store.next_number += 1
         cls = core.classes[submission.cls]
@@ -106,7 +112,7 @@
             number,
             submission.id,
             submission.cls,
-            submission.destination,
+            destination,
             key,
             submission.token,
             deadline,
@@ -123,7 +129,7 @@
             entry, core.loop.create_future()
         )
         flags = submission.repeated, submission.inherited
-        core.push(i.Arrival(number, cls, submission.destination, deadline, key, tenant, *flags))
+        core.push(i.Arrival(number, cls, destination, deadline, key, tenant, *flags))
         return pending
 
     def start_round(self) -> dict[int, PendingSubmission]:
@@ -152,7 +158,7 @@
             result = RetryLater(ADMISSION_RETRY_AFTER)
             reason = "not_recorded"
             push(i.Withdrawn(entry.number))
-        self.record_refusal(entry.id, entry.cls, entry.destination, reason)
+        self.record_refusal(entry.id, entry.cls, self.core.destination_number(entry.destination), reason)
         if decision is not None and entry.key:  # the policy blocks the key until then
             push(i.EndAnswered(entry.number, entry.key))
         self.set_result(pending, result)
--- a/rainpier/node/completions.py
+++ b/rainpier/node/completions.py
@@ -30,7 +30,7 @@
     def __init__(self, core: Core, sink: CompletionSink, in_flight: Container[int]) -> None:
         """`in_flight`: numbers of the messages that have an open call."""
         self.core, self.store, self.sink, self.in_flight = core, core.store, sink, in_flight
-        self.held_by_destination: Counter[int] = Counter()  # stored messages by destination
+        self.held_by_destination: Counter[int] = Counter()  # stored messages by destination id
         # message numbers by the time (ms) at which they are given up without a decision of the policy
         self.overdue: Schedule[int] = Schedule()
         # numbers of the messages whose final status is decided and not recorded yet, by deadline (ms)
@@ -57,13 +57,9 @@
         self.store.complete(entries)
 
     def held_for(self, destination: int) -> int:
-        """Returns the number of stored messages for the destination."""
+        """Returns the number of stored messages for the destination with this id."""
         return self.held_by_destination[destination]
 
-    def recount(self) -> None:
-        """Counts the stored messages by destination again, after destinations were renumbered."""
-        self.held_by_destination = Counter(entry.destination for entry in self.store.entries.values())
-
     # --- reply queues ---
 
     def expect_reply(self, entry: Entry) -> None:
@@ -122,7 +118,8 @@
 
     def finalize(self, entry: Entry, final_status: str, retry_after: int) -> None:
         """Records the final status, then reports it. `retry_after`: ms for the client; 0: none."""
-        fields = {"id": entry.id, "class": entry.cls, "destination": entry.destination}
+        number = self.core.destination_number(entry.destination)
+        fields = {"id": entry.id, "class": entry.cls, "destination": number}
         record(
             "message_ended",
             final_status,
--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -29,8 +29,6 @@
         self.numbers: dict[str, int] = {}  # of endpoints, by name
         self.next_number = 1
         self.destinations: Counter[int] = Counter()  # number of known receivers by destination
-        # destinations of the configuration; empty: any is valid
-        self.configured: frozenset[int] = frozenset()
         # numbers of receivers that the policy has dropped; calls to them may still be open
         self.forgotten: dict[int, None] = {}
         self.updates = EndpointUpdates(self.apply, self.numbers, self.removed_endpoint)
@@ -39,8 +37,8 @@
         self.stored_by_route = (dict(stored.retry_after), dict(stored.outages))
 
     def serves(self, destination: int) -> bool:
-        """Whether the destination has a known receiver and is not missing from the configuration."""
-        return destination in self.destinations and (not self.configured or destination in self.configured)
+        """Whether the destination with this id has a known receiver."""
+        return destination in self.destinations
 
     def removed_endpoint(self, name: str) -> DiscoveredEndpoint:
         """Builds the entry, with condition GONE, for a known endpoint that a full update lacks."""
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -12,7 +12,6 @@
 from .. import interface as i
 from ..attempt.rules import RULES, may_repeat
 from ..carriers.http.receivers import Call, CallResult, Receivers, Transports, split_batches
-from ..config.build import Config
 from ..observe.events import record
 from ..store.entry import Entry
 from .completions import Completions
@@ -23,16 +22,17 @@
 LOGGED_OUTCOMES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 
 
-def load_brokers(settings: i.Settings, config: Config) -> Transports | None:
+def load_brokers(core: Core) -> Transports | None:
     """Returns the AMQP transports; None if no broker is configured.
 
     Their modules are imported only if one is, to keep the start short.
     """
-    if not config.brokers:
+    if not core.config.brokers:
         return None
     from ..carriers.amqp.brokers import BrokerTransports
 
-    return BrokerTransports(settings, config.brokers)
+    options = {core.destination_ids[number]: options for number, options in core.config.brokers.items()}
+    return BrokerTransports(core.settings, options)
 
 
 class InFlightCalls:
@@ -50,7 +50,7 @@
 
     def reconfigure(self) -> None:
         """Takes the broker options from the current configuration, for endpoints that are added later."""
-        self.receivers.transports = load_brokers(self.core.settings, self.core.config)
+        self.receivers.transports = load_brokers(self.core)
 
     def report_store_state(self) -> None:
         """Tells the policy and the log when attempts can't be recorded any more, and when they can again."""
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -32,6 +32,7 @@
 log = logging.getLogger(__name__)
 SWEEP_INTERVAL = 0.1  # s between the periodic checks (Node.run_periodic_checks)
 COUNTERS_INTERVAL = 10.0  # s between log records of the counters
+MAX_LOGGED_DESTINATIONS = 20  # removed destinations that one edit logs by name
 FIRST_UPDATE_TIMEOUT_S = 0.3  # to wait for discovery before messages of an earlier process are resumed
 
 
@@ -72,14 +73,13 @@
         if self.source.cached:
             updates.receive(i.ListKind.CACHED, self.source.cached)
         self.source.start(updates.receive)
-        self.sink.start(self.completions.on_notified)
+        self.sink.start(self.completions.on_notified, self.core.destination_number)
         self.task = self.core.loop.create_task(supervise(self.run_periodic_checks))
         # Otherwise stored messages could be sent to a receiver that began to drain since the last process.
         if self.store.entries:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.source.complete.wait(), FIRST_UPDATE_TIMEOUT_S)
                 await updates.wait_until_applied()
-        self.store.record_destination_names(self.core.config.destinations)
         self.calls.report_store_state()
         updates.in_slices = True  # messages are processed from now on; a large update must not delay them
         for entry in list(self.store.entries.values()):
@@ -211,12 +211,10 @@
         reconfigured separately.
         """
         rebound = self.stricter_classes(config.settings.classes)
-        self.core.reconfigure(config)
+        self.core.reconfigure(config, {entry.destination for entry in self.admission.entries})
         self.calls.reconfigure()
         for cls, entries in rebound:
             self.store.rebind_class(entries, int(cls.effect), cls.group, cls.repeat_window)
-        self.store.record_destination_names(config.destinations)
-        self.completions.recount()
         self.rounds.push(i.ClassesChange(self.core.settings.classes))
         self.report_removed_destinations()
 
@@ -240,9 +238,25 @@
         return list(stricter.values())
 
     def report_removed_destinations(self) -> None:
-        """Tells the policy which destinations of open messages are no longer configured."""
-        self.endpoints.configured = frozenset(self.core.config.destinations.values())
+        """Tells the policy which destinations of open messages are no longer configured, and logs them."""
         used = {
             entry.destination for entry in self.admission.entries
         } | self.completions.held_by_destination.keys()
-        self.rounds.push(i.DestinationsGone(frozenset(used) - self.endpoints.configured))
+        removed = frozenset(used).difference(self.core.destination_ids.values())
+        if removed:
+            self.log_removed_destinations(sorted(removed))
+        self.rounds.push(i.DestinationsGone(removed))
+
+    def log_removed_destinations(self, removed: list[int]) -> None:
+        """Logs which destinations with held messages are no longer configured."""
+        names = {known.id: name for name, known in self.store.state.destinations.items()}
+        for destination in removed[:MAX_LOGGED_DESTINATIONS]:
+            log.warning(
+                "destination %d (%s) is no longer configured: its %d held messages are completed, "
+                "those in flight with their calls",
+                self.core.destination_number(destination),
+                names.get(destination, "name not known"),
+                self.completions.held_for(destination),
+            )
+        if len(removed) > MAX_LOGGED_DESTINATIONS:
+            log.warning("and %d more destinations", len(removed) - MAX_LOGGED_DESTINATIONS)
--- a/rainpier/node/retry_after.py
+++ b/rainpier/node/retry_after.py
@@ -4,6 +4,7 @@
 
 from .. import interface as i
 from ..carriers.http.receivers import Receivers
+from ..store.state import destination_route
 from ..structures.schedule import Schedule
 from .core import Core
 
@@ -34,7 +35,7 @@
         """Returns the route's name in the store. It is valid in all processes; endpoint numbers are not."""
         if self.is_apart(endpoint):
             return f"r{self.receivers.by_number[endpoint.endpoint].name}"
-        return f"d{endpoint.destination}"
+        return destination_route(endpoint.destination)
 
     def extend(self, endpoint: i.EndpointEntry, wait: float) -> float:
         """Sets the route's deadline to `wait` ms from now, unless a later one is set.
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -6,7 +6,6 @@
 import resource
 import signal
 import time
-from collections import Counter
 from pathlib import Path
 
 from .config import model as m
@@ -93,12 +92,13 @@
     async def serve(self, config: Config) -> None:
         """Starts the node and its listeners, serves until stopped. Raises StartError, StartupCancelled."""
         loop, sink = asyncio.get_running_loop(), completion_sink(self.model)
-        self.source = FileSource(discovered_endpoints(self.model))
+        self.source = FileSource([])
         try:
             node = await retry_until_available("store", lambda: self.open(config, sink), self.stop)
         except (FolderInUse, StoreError) as error:
             raise StartError(f"state folder: {error}") from error
         self.node = node
+        self.source.endpoints = discovered_endpoints(self.model, node.core.destination_ids_by_name)
         if isinstance(sink, FileSink):
             # A completion may have been written without a record in the store, but only after the deadline.
             now = node.core.now
@@ -152,14 +152,14 @@
         self.node.reconfigure(config)
         if self.amqp_listener is not None and config.amqp is not None:
             self.amqp_listener.context.routes = build_routes(config)
-        self.source.replace(discovered_endpoints(model))
+        self.source.replace(discovered_endpoints(model, self.node.core.destination_ids_by_name))
         self.model = model
 
     def status(self) -> dict[str, object]:
         """Returns the status that the control socket serves and `rainpier status` shows."""
         assert self.node is not None
         node, model = self.node, self.model
-        held_by_destination = Counter(entry.destination for entry in node.store.entries.values())
+        ids, held_for = node.core.destination_ids_by_name, node.completions.held_for
         return {
             "name": model.sidecar.name, "pid": os.getpid(), "file": str(self.path),
             "listen": write_address((model.resp.listen[0], self.resp_listener.port)),
@@ -177,7 +177,7 @@
             },
             "destinations": {
                 name: {
-                    "number": destination.number, "held": held_by_destination[destination.number],
+                    "number": destination.number, "held": held_for(ids[name]),
                     "endpoints": {m.endpoint_name(e): e.state for e in destination.endpoints},
                 }
                 for name, destination in model.destinations.items()
--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -23,13 +23,13 @@
 LOG_INTERVAL = 10.0  # s between log lines about a file that can't be written
 
 
-def encode_line(entry: Entry, now: float) -> bytes:
+def encode_line(entry: Entry, destination_number: int, now: float) -> bytes:
     """Encodes a completion: the fields of the notification, and further ones for operators.
 
-    `now`: Unix time in s.
+    `destination_number`: by which clients call the destination. `now`: Unix time in s.
     """
     fields = notification(entry) | {
-        "class": entry.cls, "destination": entry.destination, "attempts": entry.attempts,
+        "class": entry.cls, "destination": destination_number, "attempts": entry.attempts,
         "may_have_run": bool(entry.risky_at), "at": round(now, 3),
     }  # fmt: skip
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
@@ -133,7 +133,10 @@
                 self.written_ids |= self.find_ids(self.path, {entry.id for entry in batch})
                 self.partly_written = False
             new_entries = [entry for entry in batch if entry.id not in self.written_ids]
-            self.write(b"".join(encode_line(entry, now) for entry in new_entries))
+            lines = (
+                encode_line(entry, self.destination_number(entry.destination), now) for entry in new_entries
+            )
+            self.write(b"".join(lines))
         except OSError as error:
             if time.monotonic() - self.logged_at > LOG_INTERVAL:
                 self.logged_at = time.monotonic()
--- a/rainpier/sinks/sink.py
+++ b/rainpier/sinks/sink.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self.on_delivered: Callable[[list[Entry]], None] = lambda entries: None
+        self.destination_number: Callable[[int], int] = int
         self.pending: dict[int, Entry] = {}  # by message number, in the order of completion
         self.batch_size = MAX_BATCH  # of the next batch; smaller while an unreadable completion is located
         self.unreadable = False  # the receiver can't read the last batch, so that a retry can't help
@@ -45,9 +46,14 @@
         It may set `unreadable` or `unconfirmed` to say why; otherwise RETRY_PAUSES apply.
         """
 
-    def start(self, on_delivered: Callable[[list[Entry]], None]) -> None:
-        """Starts the delivery; `on_delivered` is called with each batch that was delivered."""
-        self.on_delivered = on_delivered
+    def start(
+        self, on_delivered: Callable[[list[Entry]], None], destination_number: Callable[[int], int] = int
+    ) -> None:
+        """Starts the delivery; `on_delivered` is called with each batch that was delivered.
+
+        `destination_number`: returns the number of a destination, by its id in the store.
+        """
+        self.on_delivered, self.destination_number = on_delivered, destination_number
         self.start_task()
 
     def start_task(self) -> None:
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -13,7 +13,7 @@
     number: int  # ascending in order of acceptance; identifies the message inside the sidecar
     id: str
     cls: str  # name of its class
-    destination: int  # number of the destination
+    destination: int  # id of the destination, see destinations.py
     key: int  # 0: unordered
     token: str  # idempotency key
     deadline: float
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -7,14 +7,36 @@
 from ..interface import Outcome
 from . import records as codec
 from .clock import ClockAnchor, ClockReading
+from .destinations import Destinations, decode, moved_ids
 from .entry import Entry
 from .records import Kind
 
 ClassTerms = tuple[str, int, str, float]  # a class version: name, effect, group, repeat window in ms
 UNKNOWN_TIME = 1.0  # Unix ms, long ago: stands for the start of an attempt whose time is not known any more
+DESTINATION_ROUTE = "d"  # before a destination's id: the name of its route
 CLOCK_TOLERANCE_MS = 1000.0  # a clock this far behind the last record does not count as set back
 
 
+def destination_route(destination: int) -> str:
+    """Returns the name of the route to all endpoints of a destination, by its id."""
+    return f"{DESTINATION_ROUTE}{destination}"
+
+
+def destination_of_route(route: str) -> int | None:
+    """Returns the id of a route's destination; None for the route of one endpoint, which has a name."""
+    number = route[len(DESTINATION_ROUTE) :]
+    return int(number) if route.startswith(DESTINATION_ROUTE) and number.isdecimal() else None
+
+
+def moved_routes(times: dict[str, float], moved: dict[int, int]) -> dict[str, float]:
+    """Returns the times by route with the routes of destinations that have got another id."""
+    result = {}
+    for route, time in times.items():
+        destination = destination_of_route(route)
+        result[route if destination not in moved else destination_route(moved[destination])] = time
+    return result
+
+
 @dataclass
 class State:
     """Everything that the store keeps, and for each part the segment that holds its record."""
@@ -24,7 +46,8 @@
     # By id of a completed message: until when it is remembered, Unix ms.
     completed_until: dict[str, float] = field(default_factory=dict)
     classes: dict[int, ClassTerms] = field(default_factory=dict)  # by the number that records refer to
-    destination_numbers: dict[str, int] = field(default_factory=dict)  # by name
+    destinations: Destinations = field(default_factory=dict)  # by name; removed ones while they are in use
+    numbers_by_destination_id: dict[int, int] = field(default_factory=dict)
     retry_after: dict[str, float] = field(default_factory=dict)  # retry-after deadlines by route, Unix ms
     outages: dict[str, float] = field(default_factory=dict)  # by route: when last observed, Unix ms
     next_number: int = 1  # for the next message
@@ -135,17 +158,30 @@
         self.next_number = max(self.next_number, codec.U64.unpack(data)[0])
 
     def on_names(self, data: bytes, segment: int, seq: int) -> None:
-        """Sets the destinations' numbers by name."""
-        self.apply_destination_names(json.loads(data), segment)
-
-    def apply_destination_names(self, names: dict[str, int], segment: int) -> None:
-        """Renumbers messages whose destination has got another number under the same name."""
-        moved = {
-            old: names[name] for name, old in self.destination_numbers.items() if names.get(name, old) != old
-        }
-        for entry in self.entries.values() if moved else ():
-            entry.destination = moved.get(entry.destination, entry.destination)
-        self.destination_numbers, self.names_segment = dict(names), segment
+        """Sets the destinations."""
+        self.apply_destinations(decode(json.loads(data)), segment)
+
+    def apply_destinations(self, destinations: Destinations, segment: int) -> None:
+        """Replaces the destinations; moves messages and routes of those that have got another id."""
+        moved = moved_ids(self.destinations, destinations)
+        if moved:
+            for entry in self.entries.values():
+                entry.destination = moved.get(entry.destination, entry.destination)
+            self.retry_after = moved_routes(self.retry_after, moved)
+            self.outages = moved_routes(self.outages, moved)
+        self.destinations, self.names_segment = destinations, segment
+        self.numbers_by_destination_id = {known.id: known.number for known in destinations.values()}
+
+    @property
+    def destination_numbers(self) -> dict[str, int]:
+        """The destinations' numbers by name."""
+        return {name: destination.number for name, destination in self.destinations.items()}
+
+    def destination_ids_in_use(self) -> set[int]:
+        """Returns the ids of destinations that messages or routes refer to; of routes that still matter."""
+        waiting = (route for route, until in self.retry_after.items() if until > self.latest_time)
+        of_routes = {destination_of_route(route) for route in (*waiting, *self.outages)}
+        return {entry.destination for entry in self.entries.values()} | (of_routes - {None})
 
     def on_bind(self, data: bytes, segment: int, seq: int) -> None:
         """Replaces the effect, group and window of messages."""
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -7,7 +7,6 @@
 """
 
 import errno
-import json
 import logging
 import os
 import time
@@ -21,8 +20,8 @@
 from ..interface import Outcome
 from ..observe.events import record
 from ..startup import Unavailable, is_transient
+from . import destinations, upgrade
 from . import records as codec
-from . import upgrade
 from .clock import ClockAnchor, ClockReading
 from .entry import Entry
 from .files import Files
@@ -419,11 +418,7 @@
             (Kind.SEEN, codec.SEEN.pack(until, 0) + message_id.encode())
             for message_id, until in state.completed_until.items()
         ]
-        records += (
-            [(Kind.NAMES, json.dumps(state.destination_numbers).encode())]
-            if state.destination_numbers
-            else []
-        )
+        records += [(Kind.NAMES, destinations.encode(state.destinations))] if state.destinations else []
         for entry in state.entries.values():
             number, declaration = self.class_number_of(entry)
             records += declaration
@@ -767,15 +762,19 @@
             data = codec.BIND.pack(number) + codec.encode_numbers([entry.number for entry in affected])
             self.write_or_defer([*declaration, (Kind.BIND, data)])
 
-    def record_destination_names(self, names: dict[str, int]) -> None:
-        """Records the destinations' names and numbers, and renumbers messages accordingly.
+    def record_destination_names(self, numbers: dict[str, int], used: Iterable[int] = ()) -> None:
+        """Records the destinations' names and numbers, and moves messages and routes accordingly.
 
-        This is a single record, so that no crash renumbers a message twice. If there is no room for it,
-        messages are renumbered in memory all the same, and later records are deferred behind it.
+        `used`: ids that messages outside of the store refer to. This is a single record, so that no crash
+        moves a message twice. If there is no room for it, messages are moved in memory all the same, and
+        later records are deferred behind it.
         """
-        if names != self.state.destination_numbers:
-            self.state.apply_destination_names(names, self.state.names_segment)
-            self.write_or_defer([(Kind.NAMES, json.dumps(names).encode())])
+        state = self.state
+        in_use = state.destination_ids_in_use().union(used)
+        after = destinations.assign_ids(state.destinations, numbers, in_use)
+        if after != state.destinations:
+            state.apply_destinations(after, state.names_segment)
+            self.write_or_defer([(Kind.NAMES, destinations.encode(after))])
             self.names_deferred = self.names_deferred or bool(self.deferred)
 
     def record_retry_after(self, route: str, until: float) -> None:
@@ -865,7 +864,7 @@
             if not ids:
                 return 1  # expired ids were dropped, which counts as progress
         else:
-            records = [(Kind.NAMES, json.dumps(state.destination_numbers).encode())]
+            records = [(Kind.NAMES, destinations.encode(state.destinations))]
         if not self.write_using_reserve(records):
             return 0
         self.next_seq -= len(records)
--- a/rainpier/store/upgrade.py
+++ b/rainpier/store/upgrade.py
@@ -10,6 +10,7 @@
 import zlib
 
 from ..interface import Outcome
+from .destinations import decode
 from .entry import Entry
 from .recovery import Finding
 from .state import UNKNOWN_TIME, State
@@ -36,7 +37,7 @@
     elif kind == "next":
         state.next_number = max(state.next_number, fields[0])
     elif kind == "names":
-        state.apply_destination_names(fields[0], 0)
+        state.apply_destinations(decode(fields[0]), 0)
     elif kind == "begin":
         state.latest_time = max(state.latest_time, fields[0])
         for number, attempts in fields[2]:
