Give the names of stored routes a module of their own

Cause: the prefixes of route names stood in the node and in the store's state, which had grown by their functions. Change: store/routes.py makes and reads the names; no behaviour changes.

--- a/rainpier/node/retry_after.py
+++ b/rainpier/node/retry_after.py
@@ -4,7 +4,7 @@
 
 from .. import interface as i
 from ..carriers.http.receivers import Receivers
-from ..store.state import destination_route
+from ..store.routes import destination_route, endpoint_route
 from ..structures.schedule import Schedule
 from .core import Core
 
@@ -34,7 +34,7 @@
     def route_name(self, endpoint: i.EndpointEntry) -> str:
         """Returns the route's name in the store. It is valid in all processes; endpoint numbers are not."""
         if self.is_apart(endpoint):
-            return f"r{self.receivers.by_number[endpoint.endpoint].name}"
+            return endpoint_route(self.receivers.by_number[endpoint.endpoint].name)
         return destination_route(endpoint.destination)
 
     def extend(self, endpoint: i.EndpointEntry, wait: float) -> float:
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -10,33 +10,13 @@
 from .destinations import Destinations, decode, moved_ids
 from .entry import Entry
 from .records import Kind
+from .routes import destination_of, move_destinations
 
 ClassTerms = tuple[str, int, str, float]  # a class version: name, effect, group, repeat window in ms
 UNKNOWN_TIME = 1.0  # Unix ms, long ago: stands for the start of an attempt whose time is not known any more
-DESTINATION_ROUTE = "d"  # before a destination's id: the name of its route
 CLOCK_TOLERANCE_MS = 1000.0  # a clock this far behind the last record does not count as set back
 
 
-def destination_route(destination: int) -> str:
-    """Returns the name of the route to all endpoints of a destination, by its id."""
-    return f"{DESTINATION_ROUTE}{destination}"
-
-
-def destination_of_route(route: str) -> int | None:
-    """Returns the id of a route's destination; None for the route of one endpoint, which has a name."""
-    number = route[len(DESTINATION_ROUTE) :]
-    return int(number) if route.startswith(DESTINATION_ROUTE) and number.isdecimal() else None
-
-
-def moved_routes(times: dict[str, float], moved: dict[int, int]) -> dict[str, float]:
-    """Returns the times by route with the routes of destinations that have got another id."""
-    result = {}
-    for route, time in times.items():
-        destination = destination_of_route(route)
-        result[route if destination not in moved else destination_route(moved[destination])] = time
-    return result
-
-
 @dataclass
 class State:
     """Everything that the store keeps, and for each part the segment that holds its record."""
@@ -167,8 +147,8 @@
         if moved:
             for entry in self.entries.values():
                 entry.destination = moved.get(entry.destination, entry.destination)
-            self.retry_after = moved_routes(self.retry_after, moved)
-            self.outages = moved_routes(self.outages, moved)
+            self.retry_after = move_destinations(self.retry_after, moved)
+            self.outages = move_destinations(self.outages, moved)
         self.destinations, self.names_segment = destinations, segment
         self.numbers_by_destination_id = {known.id: known.number for known in destinations.values()}
 
@@ -180,7 +160,7 @@
     def destination_ids_in_use(self) -> set[int]:
         """Returns the ids of destinations that messages or routes refer to; of routes that still matter."""
         waiting = (route for route, until in self.retry_after.items() if until > self.latest_time)
-        of_routes = {destination_of_route(route) for route in (*waiting, *self.outages)}
+        of_routes = {destination_of(route) for route in (*waiting, *self.outages)}
         return {entry.destination for entry in self.entries.values()} | (of_routes - {None})
 
     def on_bind(self, data: bytes, segment: int, seq: int) -> None:
