--- a/rainpier/config/write.py
+++ b/rainpier/config/write.py
@@ -10,7 +10,6 @@
 from .read import KeyPath, Loaded
 from .types import Many, quoted
 
-WIDTH = 100  # characters
 CLIENT_DESCRIPTORS = 64  # file descriptors that `init` leaves for clients and files
 
 
--- a/rainpier/demo/broker.py
+++ b/rainpier/demo/broker.py
@@ -15,7 +15,6 @@
 from .receivers import SLOWDOWN, Behaviour, Ledger, run_outage
 
 B, E, Q = commands.Basic, commands.Exchange, commands.Queue
-HEARTBEAT_CHECK_INTERVAL = 0.25  # s
 # Bytes of a frame, channels, bytes of a body, bytes of incomplete bodies, s between heartbeats.
 LIMITS = amqp_connection.Limits(131_072, 256, 1 << 20, 4 << 20, 30)
 
--- a/rainpier/fronts/amqp/messages.py
+++ b/rainpier/fronts/amqp/messages.py
@@ -59,11 +59,6 @@
     return re.compile(regex)
 
 
-def group(name: str) -> str:
-    """Returns the regular expression that matches a placeholder's value; only a key may contain dots."""
-    return f"(?P<{name}>{'.+' if name == 'key' else '[^.]+'})"
-
-
 @dataclass(slots=True)
 class Routes:
     """Exchange, routing key pattern, classes and destinations; rebuilt when the configuration changes."""
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -179,7 +179,7 @@
         self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.queues_checked_at, self.shutting_down, self.all_closed = self.loop.time(), False, asyncio.Event()
+        self.queues_checked_at, self.all_closed = self.loop.time(), asyncio.Event()
 
     async def listen(self) -> None:
         """Starts to listen and to check timeouts."""
@@ -219,7 +219,6 @@
 
         After `within` s the remaining connections are aborted.
         """
-        self.shutting_down = True
         if self.server is not None:
             self.server.close()
         self.all_closed.clear()
--- a/rainpier/fronts/amqp/session.py
+++ b/rainpier/fronts/amqp/session.py
@@ -38,7 +38,6 @@
 EXCHANGE_TYPES = ("direct", "topic")  # types that the exchange may be declared with
 RESERVED_PREFIX = "amq."  # queue names with it belong to the server
 MAX_CONSUMERS = 64  # of one channel
-MAX_TAG = 255  # bytes; a consumer tag is a short string
 
 
 @dataclass(slots=True, eq=False)
--- a/rainpier/store/upgrade.py
+++ b/rainpier/store/upgrade.py
@@ -15,7 +15,7 @@
 from .recovery import Finding
 from .state import UNKNOWN_TIME, State
 
-JOURNAL_FILE, TEMPORARY_JOURNAL_FILE = "journal", "journal.new"
+JOURNAL_FILE = "journal"
 
 
 def parse_line(text: bytes) -> list:
