Keep the completions file whole where a write comes up short and the next one fails

Cause: FileSink.write used the variable with the file's size again for the bytes of the last os.write, and cut the file to that after a failure. Found by the test in what follows: a line that lacked only its end was written a second time, and so were the lines of a failed batch where another program renamed the file before they were looked up. Change: the size has its own variable; what a failed batch left is looked up, and its last line terminated, in the file that was written, before it is opened anew; a last line that lacks only its end counts as written. The store, the recorder and rotation were read for the same.

--- a/rainpier/sinks/file.py
+++ b/rainpier/sinks/file.py
@@ -108,16 +108,19 @@
         wanted = set(ids)
         for path in (self.path, self.rotated_path(1)) if wanted else ():
             if path.exists():
-                self.written_ids |= self.find_ids(path, wanted)
+                with path.open("rb") as file:
+                    self.written_ids |= self.find_ids(file.fileno(), wanted)
 
     @staticmethod
-    def find_ids(path: Path, wanted: set[str]) -> set[str]:
-        """Returns the wanted ids that are in whole lines of the last TAIL_SIZE bytes of a file."""
-        with path.open("rb") as file:
-            file.seek(max(0, path.stat().st_size - TAIL_SIZE))
-            rows = file.read(TAIL_SIZE).split(b"\n")[:-1]  # what follows the last "\n" is empty or torn
+    def find_ids(file: int, wanted: set[str]) -> set[str]:
+        """Returns the wanted ids in whole lines of the last TAIL_SIZE bytes of a file. Raises OSError.
+
+        A last line that lacks only its end counts: `write` terminates it.
+        """
+        size = os.fstat(file).st_size
+        tail = os.pread(file, TAIL_SIZE, max(0, size - TAIL_SIZE))
         found = set()
-        for row in rows:
+        for row in tail.split(b"\n"):
             try:
                 found.add(str(json.loads(row)["message"]))
             except (ValueError, KeyError, TypeError):
@@ -128,10 +131,12 @@
         """Appends the completions that are not in the file yet; False if it cannot be written."""
         now = time.time()
         try:
-            self.ensure_open()
             if self.partly_written:  # the failed batch may have left whole lines in the file
-                self.written_ids |= self.find_ids(self.path, {entry.id for entry in batch})
+                # Before the file is opened anew: another program may have renamed the one with the lines.
+                self.written_ids |= self.find_ids(self.file, {entry.id for entry in batch})
+                self.write(b"")
                 self.partly_written = False
+            self.ensure_open()
             new_entries = [entry for entry in batch if entry.id not in self.written_ids]
             lines = (
                 encode_line(entry, self.destination_number(entry.destination), now) for entry in new_entries
@@ -147,19 +152,23 @@
         return True
 
     def write(self, data: bytes) -> None:
-        """Appends a batch as a whole: on failure, what was written of it is truncated. Raises OSError."""
-        if not data:
+        """Appends a batch as a whole: on failure, what was written of it is truncated. Raises OSError.
+
+        Terminates a torn last line first, also if `data` is empty.
+        """
+        if not data and not self.torn:
             return
-        size, torn = os.fstat(self.file).st_size, self.torn
-        data = b"\n" * torn + data
+        size_before, torn_before = os.fstat(self.file).st_size, self.torn
+        unwritten = b"\n" * torn_before + data
         try:
-            while data:
-                if not (size := os.write(self.file, data)):
-                    raise OSError(errno.EIO, f"wrote 0 of {len(data)} bytes")
-                data = data[size:]
+            while unwritten:
+                written = os.write(self.file, unwritten)
+                if not written:
+                    raise OSError(errno.EIO, f"wrote 0 of {len(unwritten)} bytes")
+                unwritten = unwritten[written:]
         except OSError:
             self.torn = self.partly_written = True  # until the written part is truncated away
-            os.ftruncate(self.file, size)
-            self.torn, self.partly_written = torn, False
+            os.ftruncate(self.file, size_before)
+            self.torn, self.partly_written = torn_before, False
             raise
         self.torn = False
--- a/tests/test_sink.py
+++ b/tests/test_sink.py
@@ -188,6 +188,93 @@
     run_with_file_sink(tmp_path, work)
 
 
+class FailingWrites:
+    """Replaces os.write and os.ftruncate: a short write, then an error, until `end` is called."""
+
+    def __init__(self, monkeypatch, file_path, written, error, truncates):
+        self.written, self.error, self.truncates = written, error, truncates
+        self.file_path, self.writes, self.failures, self.failing = file_path, 0, 0, True
+        self.real_write, self.real_truncate = os.write, os.ftruncate
+        monkeypatch.setattr(file_sink.os, "write", self.write)
+        monkeypatch.setattr(file_sink.os, "ftruncate", self.truncate)
+
+    def end(self):
+        """Lets later calls succeed."""
+        self.failing = False
+
+    def is_sink(self, file):
+        """Whether the descriptor is the completion file's: the event loop writes to others."""
+        return os.fstat(file).st_ino == os.stat(self.file_path).st_ino
+
+    def write(self, file, data):
+        if not self.failing or not self.is_sink(file):
+            return self.real_write(file, data)
+        self.writes += 1
+        if self.writes == 1 and self.written:
+            return self.real_write(file, bytes(data)[: self.written])
+        self.failures += 1
+        raise OSError(self.error, "injected")
+
+    def truncate(self, file, size):
+        if self.failing and not self.truncates and self.is_sink(file):
+            raise OSError(self.error, "injected")
+        return self.real_truncate(file, size)
+
+
+BATCH_IDS = ["m1", "m2"]
+NOW = 1796118000.123  # Unix time, s
+BATCH_BYTES = len(b"".join(file_sink.encode_line(entry(n), 3, NOW) for n in (1, 2)))
+
+
+# Guards against completions that are lost: after a short write the file was cut to the length of that write.
+@pytest.mark.parametrize(
+    "error", [errno.ENOSPC, errno.EIO, errno.EFBIG, errno.EDQUOT], ids=errno.errorcode.get
+)
+@pytest.mark.parametrize(
+    ("truncates", "then"), [(True, "continue"), (False, "continue"), (False, "rename"), (True, "kill"), (False, "kill")]
+)  # fmt: skip
+def test_short_write_followed_by_an_error_loses_and_repeats_no_completion(
+    tmp_path, monkeypatch, error, truncates, then
+):
+    """At every byte of a batch; the process goes on or is killed, or another program renames the file."""
+
+    async def scenario():
+        for written in range(BATCH_BYTES):
+            folder = tmp_path / str(written)
+            path = folder / "ends.jsonl"
+            sink = file_sink.FileSink(path, 1 << 20, 3)
+            assert await sink.deliver([entry(0)])
+            with monkeypatch.context() as patch:
+                patch.setattr(file_sink.time, "time", lambda: NOW)
+                failing = FailingWrites(patch, path, written, error, truncates)
+                assert not await sink.deliver([entry(1), entry(2)])
+                assert failing.failures == 1
+                failing.end()
+                if then == "kill":  # the next process looks up what was written
+                    sink.close_file()
+                    sink = file_sink.FileSink(path, 1 << 20, 3)
+                    sink.recover(BATCH_IDS)
+                elif then == "rename":
+                    os.replace(path, folder / "old")
+                assert await sink.deliver([entry(1), entry(2)])
+            sink.close_file()
+            assert sorted(whole_ids(folder)) == ["m0", *BATCH_IDS], written
+
+    run_with_timeout(scenario())
+
+
+def whole_ids(folder):
+    """Returns the ids of the whole lines in all files of a folder; others are torn, or empty."""
+    found = []
+    for path in folder.iterdir():
+        for row in path.read_bytes().split(b"\n")[:-1]:
+            try:
+                found.append(json.loads(row)["message"])
+            except ValueError:
+                continue
+    return found
+
+
 def test_completion_is_delivered_soon_after_the_receiver_recovers():
     """Otherwise a completion waits for the end of a long retry pause although it could be delivered."""
 
