Test what two lines of the destinations' ids guard: unheld numbers, waiting submissions

Cause: two lines taken out on purpose were found by no test: the id of a removed destination counts as used although nothing is held, and submissions that wait for their round count as references. Change: three tests. No line of the program changes. Measured: each fails with its line taken out; 20 tests of ids and reused numbers pass.

--- a/tests/store/test_destinations.py
+++ b/tests/store/test_destinations.py
@@ -76,6 +76,24 @@
     assert store.entries[message.number].destination not in ids
 
 
+# Guards against a new destination that inherits the window or the pause that a running process knows by id.
+def test_number_given_away_gets_an_id_of_its_own_although_nothing_is_held():
+    store = open_store()
+    store.record_destination_names({"alpha": 1})
+    store.record_destination_names({"gamma": 1})
+    assert store.state.destinations == {"gamma": Destination(1, FIRST_ALIAS)}
+
+
+# Guards against a message whose destination is removed between its submission and its first record.
+def test_message_that_is_not_stored_yet_keeps_its_destination():
+    store = open_store()
+    store.record_destination_names({"alpha": 1})
+    store.record_destination_names({"gamma": 1}, used=[1])
+    message = accept(store, "m", "alpha")
+    store.record_destination_names({"gamma": 1, "alpha": 7})
+    assert owner(store, message) == "alpha"
+
+
 def test_destination_that_returns_gets_its_messages_back():
     store = open_store()
     for names in ({"alpha": 1}, {"gamma": 1}, {"delta": 1}, {"alpha": 7, "gamma": 1, "delta": 3}):
--- a/tests/test_number_reuse.py
+++ b/tests/test_number_reuse.py
@@ -15,6 +15,7 @@
 from rainpier.config.check import check_text
 from rainpier.fronts.amqp.context import build_routes
 from rainpier.membership.file import discovered_endpoints
+from rainpier.submission import Submission
 
 NUMBER = 1  # of the destination that is removed, and of the one that is added
 
@@ -141,6 +142,25 @@
     run_with_timeout(scenario())
 
 
+# Guards against the same for a submission on which no round has decided when the edit is applied.
+def test_submission_that_waits_for_its_round_stays_with_the_removed_destination(tmp_path):
+    async def scenario():
+        async with ScriptedBroker() as gamma:
+            async with Station(tmp_path, make_station_config_text({"alpha": ["127.0.0.1:1"]})) as station:
+                station.node.submit(Submission("early", "charge", NUMBER, 0, "", 2000, b"x"))
+                text = make_station_config_text({"gamma": [gamma.address]})
+                edited = check_text(text, str(tmp_path / "app.toml")).model
+                edited.file = station.model.file
+                station.node.reconfigure(build_config(edited, 7))
+                assert "alpha" in station.node.store.state.destinations
+                ids = station.node.core.destination_ids_by_name
+                station.source.replace(discovered_endpoints(edited, ids))
+                await station.wait_until_settled()
+                assert not gamma.effects
+
+    run_with_timeout(scenario())
+
+
 # The same through AMQP on both sides: publishers, the queue of a destination, and brokers.
 def test_broker_that_takes_over_a_number_gets_only_what_is_published_for_it(tmp_path):
     async def scenario():
