Log memory, descriptors and what is held beside the limits, and show them in the status

Change: gauges beside the counters: resident memory and its peak, the limit, descriptors, held messages, calls, idle connections, clients of each listener.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -66,10 +66,11 @@
     log.info("%s serves on %s:%d", config.name, config.listen[0], listener.port)
     record("process", "serving", pid=os.getpid(), name=config.name, held=len(node.store.entries))
     log.info(
-        "limits: %d calls in flight, %d descriptors, %d bytes of disk",
+        "limits: %d calls in flight, %d descriptors, %d bytes of disk, %d bytes of memory",
         node.core.settings.slots,
         config.sockets,
         config.disk,
+        config.memory,
     )
     await stop.wait()
     await shut_down(node, [listener], loop.time())
--- a/rainpier/config/build.py
+++ b/rainpier/config/build.py
@@ -32,6 +32,7 @@
     # The endpoint list last received, in the discovery service's JSON form.
     known: dict = field(default_factory=dict)
     largest_body: int = 65536  # bytes
+    memory: int = 192_000_000  # bytes that the process may use
     machine: bool = False  # accepted messages have to outlast a machine crash too: fsync is required
     destinations: dict[str, int] = field(default_factory=dict)  # numbers by name, for those with a name
     brokers: dict[int, BrokerOptions] = field(default_factory=dict)  # by destination number
@@ -129,6 +130,7 @@
         seed=seed,
         sockets=model.limits.sockets,
         disk=model.limits.disk,
+        memory=model.limits.memory,
         settings=settings(model),
         zones=model.fleet.zones,
         rated=platform.rated if platform else any(dest.rate for dest in model.destinations.values()),
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -14,6 +14,8 @@
 from . import model as schema
 
 Config = build.Config
+MEGABYTE = 1_000_000  # bytes
+DEFAULT_MEMORY_MB = 192  # where the configuration gives no limit
 EFFECTS_BY_SEMANTICS = {"free": "safe", "guarded": "keyed", "single_shot": "unsafe"}
 
 
@@ -168,5 +170,6 @@
     model.platform.discovery = require_address(raw.get("discovery", env.get("EDGE_DISCOVERY")), "discovery")
     model.platform.known = known
     model.limits.sockets = int(read_limit(limits, "sockets", 1024))
-    model.limits.disk = int(read_limit(limits, "disk_mb", 3) * 1_000_000)
+    model.limits.disk = int(read_limit(limits, "disk_mb", 3) * MEGABYTE)
+    model.limits.memory = int(read_limit(limits, "memory_mb", DEFAULT_MEMORY_MB) * MEGABYTE)
     return build.build_config(model, int(str(raw.get("seed", "0")), 16))
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -8,6 +8,7 @@
 
 from ...amqp import connection as amqp_connection
 from ...config.types import write_address
+from ...observe.events import register_gauge
 from ...sockets import end_writing, listening_socket
 from ..resp.server import LISTEN_BACKLOG
 from .options import Options
@@ -180,6 +181,7 @@
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.queues_checked_at, self.all_closed = self.loop.time(), asyncio.Event()
+        register_gauge("amqp_connections", lambda: len(self.connections))
 
     async def listen(self) -> None:
         """Starts to listen and to check timeouts."""
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 
-from ...observe.events import record
+from ...observe.events import record, register_gauge
 from ...sockets import listening_socket
 from ...submission import PendingResult, Submission
 from .connection import Connection, Reply
@@ -59,6 +59,7 @@
         # See connection.Listener; `all_closed`: only lingering connections are left.
         self.shutting_down, self.ignore_partial, self.all_closed = False, False, asyncio.Event()
         self.timers: dict[str, asyncio.TimerHandle] = {}
+        register_gauge("client_connections", lambda: len(self.connections))
 
     async def listen(self, address: tuple[str, int]) -> None:
         """Starts to listen and to check timeouts."""
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -17,7 +17,8 @@
 from ..carriers.http.receivers import Call
 from ..config.build import Config
 from ..membership.source import EndpointSource
-from ..observe.events import CounterLogger
+from ..observe.events import CounterLogger, register_gauge
+from ..observe.process import memory_use, open_descriptors
 from ..policy import Sender
 from ..sinks.sink import CompletionSink
 from ..store.entry import Entry
@@ -64,6 +65,18 @@
         self.admission = Admission(self.core, self.completions, self.endpoints, source.complete.is_set)
         self.submit = self.admission.submit
         self.task: asyncio.Task | None = None
+        self.register_gauges()
+
+    def register_gauges(self) -> None:
+        """Registers what the process uses and holds, beside its limits."""
+        receivers = self.calls.receivers
+        register_gauge("memory_bytes", lambda: memory_use().resident)
+        register_gauge("memory_peak_bytes", lambda: memory_use().peak)
+        register_gauge("memory_limit_bytes", lambda: self.core.config.memory)
+        register_gauge("descriptors", open_descriptors)
+        register_gauge("held_messages", lambda: len(self.store.entries))
+        register_gauge("calls", lambda: len(receivers.calls))
+        register_gauge("idle_receiver_connections", lambda: len(receivers.idle))
 
     # --- start and stop ---
 
--- a/rainpier/observe/events.py
+++ b/rainpier/observe/events.py
@@ -2,15 +2,18 @@
 
 A record is one line of `event=NAME reason=REASON field=value ...`, which any parser of logfmt reads. Every
 record is counted by its name and reason, whether or not its level is logged. `rainpier status` shows the
-counters, and they are logged at intervals (`CounterLogger.log_counts`).
+counters, and they are logged at intervals (`CounterLogger.log_counts`). A gauge is a value that goes up and
+down, such as the memory that the process uses; gauges are shown and logged beside the counters.
 """
 
 import logging
 import re
 from collections import Counter
+from collections.abc import Callable
 
 log = logging.getLogger("rainpier.events")
 COUNTS: Counter[tuple[str, str]] = Counter()  # by name and reason, since this process started
+GAUGES: dict[str, Callable[[], int]] = {}  # by name: the function that reads the current value
 UNQUOTED = re.compile(r"[^\s\"=]+")
 MAX_VALUE_LENGTH = 200  # characters; longer values are truncated
 
@@ -41,14 +44,26 @@
     return {f"{name}.{reason}" if reason else name: n for (name, reason), n in sorted(COUNTS.items())}
 
 
+def register_gauge(name: str, read: Callable[[], int]) -> None:
+    """Adds a gauge, or replaces the one of that name. The unit is part of the name, such as `_bytes`."""
+    GAUGES[name] = read
+
+
+def gauges() -> dict[str, int]:
+    """Returns the current values of all gauges, by name."""
+    return {name: read() for name, read in GAUGES.items()}
+
+
 class CounterLogger:
-    """Logs the counters that have changed since the previous call, as one record."""
+    """Logs the gauges, and the counters that have changed since the previous call."""
 
     def __init__(self) -> None:
         self.logged = dict(counts())
 
     def log_counts(self) -> None:
-        """Logs the counters with a new value, if there are any."""
+        """Logs the gauges in one record, and in another the counters with a new value, if there are any."""
+        if current_gauges := gauges():
+            log.info("event=gauges %s", " ".join(f"{name}={value}" for name, value in current_gauges.items()))
         current = counts()
         changed = {name: n for name, n in current.items() if n != self.logged.get(name)}
         if changed:
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -20,7 +20,7 @@
 from .host import open_node, shut_down
 from .membership.file import FileSource, discovered_endpoints
 from .node.node import Node
-from .observe.events import counts
+from .observe.events import counts, gauges
 from .sinks.file import FileSink
 from .sinks.http import HttpSink
 from .sinks.sink import CompletionSink
@@ -169,6 +169,7 @@
             "no_room": node.core.stalled,  # attempts can't be recorded, so that none may begin
             "clients": len(self.resp_listener.connections),
             "counters": counts(),
+            "gauges": gauges(),
             "amqp": self.amqp_listener.status() if self.amqp_listener is not None else None,
             "store_bytes": node.store.size, "disk_bytes": node.core.config.disk,
             "reload": {
