--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -3,11 +3,16 @@
 With arguments it is the command line: see rainpier/cli.
 """
 
+import sys
+
+if __name__ == "__main__":
+    # asyncio would load OpenSSL, which takes 5 MB and is never used: no listener and no client speaks TLS.
+    sys.modules["ssl"] = None  # type: ignore[assignment]
+
 import asyncio
 import logging
 import os
 import signal
-import sys
 from collections.abc import Callable
 from typing import TypeVar
 
--- a/rainpier/fronts/resp/session.py
+++ b/rainpier/fronts/resp/session.py
@@ -4,7 +4,6 @@
 protocol specification, "Client handshake"); messages are submitted in the same way in both.
 """
 
-import hmac
 import itertools
 from collections.abc import Callable
 from typing import ClassVar
@@ -110,6 +109,8 @@
 
         After MAX_WRONG_PASSWORDS failures it is closed.
         """
+        import hmac  # loads OpenSSL, which a process without a password does not need
+
         password_matches = hmac.compare_digest(password, self.password.encode())
         if user == b"default" and password_matches:
             self.authenticated = True
--- a/tests/standins/limits.py
+++ b/tests/standins/limits.py
@@ -133,6 +133,13 @@
 
     async def run(self) -> None:
         """Submits until it is cancelled."""
+        try:
+            await self.submit_at_intervals()
+        finally:
+            await self.disconnect()
+
+    async def submit_at_intervals(self) -> None:
+        """Submits one message after another."""
         loop = asyncio.get_running_loop()
         while True:
             began = loop.time()
