Share one pool of memory and the event loop among the clients of all listeners

Callers saw: a sender over its memory limit before hundreds of clients that wrote slowly, stopped half way or sent very many short fields; replies of others late. Change: pressure/memory.py divides what the limit leaves free at the start; a connection holds 4 KiB of its own and the rest from the pool, is not read without room, and a request of which all has arrived is handled nevertheless. pressure/turns.py gives clients turns by time. Pending submissions count. Clients that hold a part of a request, don't read, or send most make room for new ones. A closed connection is freed at once.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -19,7 +19,7 @@
 from .config.platform import ConfigError, load
 from .config.reload import Reload
 from .fronts.resp.server import RespListener
-from .host import open_node, shut_down
+from .host import divide_memory, open_node, shut_down
 from .membership.platform import Discovery
 from .observe.events import record
 from .sinks.http import HttpSink
@@ -62,7 +62,7 @@
     )
     reload_task = loop.create_task(supervise(lambda: reload.run(config, discovery, sink)))
     await node.start()
-    listener = RespListener(node.submit, config.client_descriptors)
+    listener = RespListener(node.submit, config.client_descriptors, pool=divide_memory(node, config))
     try:
         await retry_until_available("listen", lambda: listener.listen(config.listen), stop)
     except StartupCancelled:
--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -1,6 +1,7 @@
 """One client's RESP connection: reads pipelined requests and writes the replies in the same order."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections import deque
@@ -9,18 +10,23 @@
 import hiredis
 
 from ...observe.events import record
-from ...sockets import end_writing
-from ...submission import PendingResult
-from .requests import RequestParser, encode_result, error_reply, find_request_end
+from ...pressure.memory import MemoryPool, Share
+from ...pressure.turns import TURN_S, Turns
+from ...sockets import end_writing, unread_bytes
+from ...submission import PendingResult, RetryLater
+from .requests import RequestParser, announced_end, encode_result, error_reply, find_request_end
 from .session import Session
 
-REQUESTS_PER_TURN = 16  # requests of one connection handled in one iteration of the event loop
+REQUESTS_PER_TURN = 16  # requests of one connection handled in one turn
 MAX_UNANSWERED = 64  # requests without a reply on one connection; further ones are not read meanwhile
 # From the connect to the first complete request, from the first to the last byte of a later one, and without
 # progress of a client that does not read its replies.
 REQUEST_TIMEOUT_S = 2.4
+MIN_READ = 256  # bytes of a read while memory is short
 CLOSE_TIMEOUT_S = 1.0  # from the close of a connection until it is aborted, for its last reply to be sent
 
+BUSY = encode_result(RetryLater(1000))  # refuses a request while room is short
+
 Reply = PendingResult | bytes  # bytes: a reply that the session has already encoded
 
 
@@ -30,13 +36,15 @@
     loop: asyncio.AbstractEventLoop
     parser: RequestParser
     read_buffer: memoryview  # shared by all connections; each read is copied out before the next one starts
+    pool: MemoryPool
+    turns: Turns
     password: str
     shutting_down: bool  # the listener is closing
     ignore_partial: bool  # the listener no longer waits for the rest of a partly received request
     lingering: "set[Connection]"  # half-closed connections that wait only for the client to close
 
-    def handle_request(self, request: list[bytes], session: Session) -> Reply:
-        """Returns the reply to a request, or its future result."""
+    def handle_request(self, request: list[bytes], session: Session, room: int) -> Reply:
+        """Returns the reply to a request, or its future result. `room`: bytes that the reply may take."""
         ...
 
     def remove(self, connection: "Connection") -> None:
@@ -53,16 +61,21 @@
         self.buffer = bytearray()  # received and not handled yet
         self.session = Session(listener.password)
         self.replies: deque[Reply] = deque()  # not written yet, in the order of their requests
+        self.reply_bytes = 0  # of the encoded ones among them
+        self.unsent = 0  # bytes of replies that wait to be sent, at the last check
+        self.share = Share(listener.pool)
         self.last_activity = self.loop.time()  # s, of the connect or the last request, reply or close
         self.request_started = self.last_activity  # s, of the first byte of the incomplete request
         self.has_requested = False  # has sent at least one complete request
+        self.requests = 0  # handled so far
         # `read_scheduled`: process_buffer is due to run again; `close_after_replies`: no further request will
         # be handled, and the connection closes once the replies are written.
         self.closing = self.reading_paused = self.write_paused = self.read_scheduled = (
             self.close_after_replies
         ) = False
         self.ignore_input = False  # received data is dropped, as no further request gets a reply
-        self.peer_eof = False  # the client has closed its sending side
+        self.peer_eof = False  # the client has closed its sending side, and everything it sent is read
+        self.peer_finished = False  # the client has closed its sending side; there may be unread data
         self.close_reason = ""  # why this side closes the connection, for the log; "": it does not
 
     # --- asyncio callbacks ---
@@ -71,29 +84,34 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        transport.set_write_buffer_limits(high=0)  # writing counts as paused while anything is unsent
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Returns the buffer for the next read, which all connections share."""
-        return self.listener.read_buffer
+        """Returns the buffer for the next read, which all connections share: as much as there is room for."""
+        if self.closing or self.ignore_input:
+            return self.listener.read_buffer
+        return self.listener.read_buffer[: max(MIN_READ, self.share.room)]
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Appends received bytes to the input buffer and handles the complete requests in it."""
+        """Appends received bytes to the input buffer, and handles the complete requests in it in a turn."""
         if self.closing or self.ignore_input:
             return
         # Bytes that trickle in do not extend the time for the first request.
         if not self.buffer and self.has_requested:
             self.request_started = self.loop.time()
         self.buffer += self.listener.read_buffer[:nbytes]
-        if not self.read_scheduled:
-            self.process_buffer()
+        if not self.read_scheduled and self.listener.turns.start(self):
+            self.read_scheduled = True
+            self.update_share()
+            self.update_reading()
 
     def eof_received(self) -> bool:
         """Keeps a half-closed connection open until its requests in flight have their replies.
 
         Messages that were accepted stay accepted in any case. False makes asyncio close the transport.
         """
-        self.close_after_replies = self.peer_eof = True
-        return self.read_scheduled or bool(self.replies)
+        self.close_after_replies = self.peer_eof = self.peer_finished = True
+        return self.read_scheduled or bool(self.replies) or self.has_whole_request
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the connection; replies that were not sent are lost."""
@@ -102,6 +120,7 @@
         self.read_scheduled = False
         self.replies.clear()
         self.buffer.clear()
+        self.share.release(self)
         self.listener.remove(self)
 
     def log_closed(self, exc: Exception | None) -> None:
@@ -117,11 +136,20 @@
         self.update_reading()
 
     def resume_writing(self) -> None:
-        self.write_paused = False
+        self.write_paused, self.unsent = False, 0
+        self.update_share()
         self.resume_processing()
 
     # --- requests ---
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether the buffer begins with a complete request, or with bytes that are an error."""
+        try:
+            return not self.ignore_input and find_request_end(self.buffer) > 0
+        except hiredis.ProtocolError:
+            return True
+
     @property
     def busy(self) -> bool:
         """Whether a request is in flight or input is buffered."""
@@ -132,6 +160,17 @@
         """Whether shutdown still has to wait for this connection."""
         return bool(self.replies) or self.read_scheduled if self.listener.ignore_partial else self.busy
 
+    @property
+    def idle_since(self) -> float:
+        """Loop time, s, of the start of the incomplete request, else of the last request or reply."""
+        return self.request_started if self.buffer else self.last_activity
+
+    def has_unread_request(self) -> bool:
+        """Whether the socket may hold a whole request, or the rest of the incomplete one."""
+        if self.closing or self.write_paused:
+            return False
+        return self.unread_rest() is not None if self.buffer else self.has_unread_data()
+
     def has_unread_data(self) -> bool:
         """Whether the socket holds data that the event loop has not read yet, possibly a complete request."""
         try:
@@ -144,57 +183,88 @@
         """Whether nothing is in flight and the client has to send the rest of a request, or its first one."""
         return (bool(self.buffer) or not self.has_requested) and not self.replies and not self.read_scheduled
 
+    @property
+    def max_unanswered(self) -> int:
+        """Requests without a reply, from which on no further one is handled.
+
+        One, once the client has closed its sending side: it may be gone altogether, which only the write of
+        a reply brings to light, and what it had not been told of must not be accepted then.
+        """
+        return 1 if self.peer_finished else MAX_UNANSWERED
+
     @property
     def backlogged(self) -> bool:
         """Whether replies have to be written before more requests are read (back-pressure)."""
-        return self.write_paused or len(self.replies) >= MAX_UNANSWERED
+        return (
+            self.write_paused
+            or len(self.replies) >= self.max_unanswered
+            or (self.reply_bytes > 0 and self.reply_bytes >= self.share.room)
+        )
 
-    def process_buffer(self) -> None:
-        """Handles the complete requests in the buffer, at most REQUESTS_PER_TURN of them.
+    def run_turn(self) -> bool:
+        """Handles some of the complete requests in the buffer; returns whether there may be more.
 
-        The rest are handled in later iterations of the event loop: hundreds of pipelined requests handled at
-        once would delay other connections and use much memory.
+        The rest are handled in later turns: hundreds of pipelined requests handled at once would delay other
+        connections and use much memory.
         """
         self.read_scheduled = False
-        parsed_end, requests_left = 0, REQUESTS_PER_TURN
+        if self.closing:
+            return False
         try:
-            while (
-                requests_left and not self.backlogged and (end := find_request_end(self.buffer, parsed_end))
-            ):
-                request = self.listener.parser.parse(bytes(self.buffer[parsed_end:end]))
-                parsed_end, requests_left, self.has_requested = end, requests_left - 1, True
-                self.replies.append(self.listener.handle_request(request, self.session))
-                if self.session.close_after_reply:  # requests after a QUIT are not handled
-                    self.close_after_replies, self.ignore_input, parsed_end, requests_left = (
-                        True,
-                        True,
-                        len(self.buffer),
-                        0,
-                    )
+            self.read_scheduled = self.handle_requests()
         except hiredis.ProtocolError as error:
-            return self.close_with_error(f"Protocol error: {error}")
-        if parsed_end:
-            del self.buffer[:parsed_end]
-            self.last_activity = self.request_started = self.loop.time()
-        if not requests_left and self.buffer:
-            self.read_scheduled = True
-            self.loop.call_soon(self.process_scheduled)
+            self.close_with_error(f"Protocol error: {error}")
+            return False
         was_backlogged = self.backlogged
         self.write_replies()
         # If the results that the back-pressure waited for were already known, their replies have just been
         # written and no callback follows. Without this, complete requests would stay unhandled in the buffer.
-        self.resume_processing() if was_backlogged and not self.backlogged else self.update_reading()
+        if was_backlogged and not self.backlogged and self.buffer and not self.closing:
+            self.read_scheduled = True
+        self.update_reading()
+        return self.read_scheduled
 
-    def process_scheduled(self) -> None:
-        """Continues with the buffer, unless the connection closes or it was handled meanwhile."""
-        if self.read_scheduled and not self.closing:
-            self.process_buffer()
+    def handle_requests(self) -> bool:
+        """Handles complete requests for a turn; returns whether there may be more.
+
+        Raises hiredis.ProtocolError for invalid framing.
+        """
+        parsed_end, requests_left, turn_end = 0, REQUESTS_PER_TURN, self.loop.time() + TURN_S
+        try:
+            while (
+                requests_left and not self.backlogged and (end := find_request_end(self.buffer, parsed_end))
+            ):
+                with memoryview(self.buffer) as view:
+                    data = bytes(view[parsed_end:end])
+                parsed_end, requests_left, self.has_requested = end, requests_left - 1, True
+                self.handle_request(data)
+                if self.session.close_after_reply:  # requests after a QUIT are not handled
+                    self.close_after_replies = self.ignore_input = True
+                    parsed_end = len(self.buffer)
+                    return False
+                if self.loop.time() > turn_end:
+                    requests_left = 0
+            return not requests_left and parsed_end < len(self.buffer)
+        finally:
+            if parsed_end:
+                del self.buffer[:parsed_end]
+                self.last_activity = self.request_started = self.loop.time()
+            self.update_share()
+
+    def handle_request(self, data: bytes) -> None:
+        """Handles one complete request. Raises hiredis.ProtocolError if the parser rejects it."""
+        request = self.listener.parser.parse(data)
+        self.requests += 1
+        reply = self.listener.handle_request(request, self.session, self.share.room)
+        self.replies.append(reply)
+        if isinstance(reply, bytes):
+            self.reply_bytes += len(reply)
 
     def resume_processing(self) -> None:
         """Continues after back-pressure, with the buffered requests before unread ones."""
         if self.buffer and not self.read_scheduled and not self.closing:
             self.read_scheduled = True
-            self.loop.call_soon(self.process_scheduled)
+            self.listener.turns.resume(self)
         self.update_reading()
 
     def update_reading(self) -> None:
@@ -202,10 +272,79 @@
         if self.transport is None or self.transport.is_closing():
             return
         pause = self.read_scheduled or self.backlogged
+        if not pause and not self.ignore_input and not self.share.room:
+            pause = True
+            self.listener.pool.wait(self)
         if pause != self.reading_paused:
             self.reading_paused = pause
             self.transport.pause_reading() if pause else self.transport.resume_reading()
 
+    # --- memory ---
+
+    def update_share(self) -> None:
+        """Accounts for the memory that the connection holds."""
+        if self.closing:
+            return
+        unsent = self.transport.get_write_buffer_size() if self.write_paused and self.transport else 0
+        self.share.resize(len(self.buffer) + self.reply_bytes + unsent, self)
+
+    def try_resume(self) -> bool:
+        """Goes on reading if there is room, or handles the request if all of it has arrived; see Holder."""
+        if self.closing or self.ignore_input or self.read_scheduled or self.backlogged:
+            return True  # does not read; `update_reading` waits again if it has to
+        if not self.share.room:
+            rest = self.unread_rest()
+            if rest is None:
+                return False
+            self.read_rest(rest)
+        self.update_reading()
+        return not self.reading_paused or self.read_scheduled
+
+    def unread_rest(self) -> int | None:
+        """Returns the size of the incomplete request's rest if it has arrived, but is not read yet, bytes.
+
+        0 at the end of the stream; None if more has to arrive.
+        """
+        try:
+            unread = unread_bytes(self.sock, self.listener.read_buffer)
+            end, all_announced = announced_end(self.buffer)
+        except OSError:  # nothing to read, or the connection is lost, which a write will show
+            return None
+        except hiredis.ProtocolError:
+            return 0
+        missing = end - len(self.buffer)
+        if not unread:
+            return 0
+        return missing if all_announced and 0 < missing <= unread else None
+
+    def read_rest(self, size: int) -> None:
+        """Reads and handles a request of which all has arrived, although there is no room.
+
+        It is in memory no longer than this takes. `size`: as unread_rest returns it.
+        """
+        if not size:
+            if self.transport is not None and self.reading_paused:  # the transport has to see the end
+                self.reading_paused = False
+                self.transport.resume_reading()
+            return
+        try:
+            size = self.sock.recv_into(self.listener.read_buffer, size)
+        except OSError:
+            return
+        self.buffer += self.listener.read_buffer[:size]
+        if self.run_turn():
+            self.listener.turns.resume(self)
+
+    def incomplete_since(self) -> float | None:
+        """Returns when the incomplete request began, loop time in s; None if there is none."""
+        waits = self.buffer and not self.replies and not self.read_scheduled and not self.closing
+        return self.request_started if waits else None
+
+    def shed(self) -> None:
+        """Gives up the incomplete request with an error."""
+        self.close_reason = "memory"
+        self.close_with_error("no whole request, and memory is short")
+
     # --- replies ---
 
     def write_replies(self) -> None:
@@ -221,13 +360,16 @@
                     reply.add_done_callback(self.on_result)
                     break
                 reply = reply.result()
-            self.replies.popleft()
+            if isinstance(self.replies.popleft(), bytes):
+                self.reply_bytes -= len(reply)
             encoded.append(reply if isinstance(reply, bytes) else encode_result(reply))
         if encoded and self.transport is not None:
             self.transport.write(b"".join(encoded))
             self.last_activity = self.loop.time()
+            self.update_share()
         if self.close_after_replies and not self.replies and not self.read_scheduled:
-            self.close()
+            if not self.has_whole_request:
+                self.close()
         elif self.listener.shutting_down and not self.must_stay_open:
             self.close_if_idle()
 
@@ -248,7 +390,10 @@
         self.buffer.clear()
         self.close_reason = self.close_reason or "request_error"
         self.read_scheduled, self.close_after_replies, self.ignore_input = False, True, True
-        self.replies.append(error_reply(text))
+        reply = error_reply(text)
+        self.replies.append(reply)
+        self.reply_bytes += len(reply)
+        self.update_share()
         self.write_replies()
         self.update_reading()
 
@@ -270,6 +415,32 @@
                 self.reading_paused = False
                 self.transport.resume_reading()
 
+    def give_way(self) -> None:
+        """Refuses the requests that are read and not handled, and closes: others need its room.
+
+        Each gets its reply, since its client could not know otherwise that it was not accepted.
+        """
+        start = 0
+        with contextlib.suppress(hiredis.ProtocolError):
+            while end := find_request_end(self.buffer, start):
+                self.replies.append(BUSY)
+                self.reply_bytes += len(BUSY)
+                start = end
+        self.close_reason = "room"
+        self.close_with_error("room is short")
+
+    def evict(self) -> None:
+        """Closes at once, with an error unless it is between two requests: its descriptor is needed."""
+        self.close_reason = "room"
+        if self.write_paused and self.transport is not None:
+            return self.transport.abort()  # the client does not read
+        if self.has_requested and not self.buffer:
+            self.close()
+        else:
+            self.close_with_error("no whole request, and room is short")
+        if self.transport is not None:
+            self.transport.close()
+
     def close_if_idle(self) -> None:
         """Closes for shutdown, unless an unread request has arrived, which is handled first."""
         if not self.has_unread_data():
@@ -281,11 +452,19 @@
         if self.closing:
             if now - self.last_activity > CLOSE_TIMEOUT_S and self.transport is not None:
                 self.transport.abort()
-        elif (
-            self.write_paused and now - self.last_activity > REQUEST_TIMEOUT_S and self.transport is not None
-        ):
+        elif self.write_paused and self.transport is not None and not self.sends_replies(now):
             self.close_reason = "answers_not_read"
             self.transport.abort()
         elif self.awaiting_request and now - self.request_started > REQUEST_TIMEOUT_S:
             self.close_reason = "request_timeout"
             self.close_with_error("no whole request in time")
+
+    def sends_replies(self, now: float) -> bool:
+        """Whether a part of the unsent replies was sent within REQUEST_TIMEOUT_S; `now`: loop time, s."""
+        assert self.transport is not None
+        unsent = self.transport.get_write_buffer_size()
+        if unsent < self.unsent:
+            self.last_activity = now
+        self.unsent = unsent
+        self.update_share()
+        return now - self.last_activity <= REQUEST_TIMEOUT_S
--- a/rainpier/fronts/resp/requests.py
+++ b/rainpier/fronts/resp/requests.py
@@ -140,23 +140,33 @@
     as it allocates as many elements as a header announces (2,000,000,000 blocked the event loop for seconds
     and used up the memory).
     """
+    end, all_announced = announced_end(data, start)
+    return end if all_announced and end <= len(data) else 0
+
+
+def announced_end(data: bytearray, start: int = 0) -> tuple[int, bool]:
+    """Returns up to where the headers received so far announce a request, and whether that is all of it.
+
+    Raises hiredis.ProtocolError as find_request_end does.
+    """
     if not (header := ARRAY.match(data, start)):
-        return check_partial_header(data, start)
+        check_partial_header(data, start)
+        return start, False
     position = header.end()
     for _ in range(int(header[1])):
         if not (bulk := BULK.match(data, position)):
-            return check_partial_header(data, position)
+            check_partial_header(data, position)
+            return position, False
         position = bulk.end() + int(bulk[1]) + 2
         if position - start > MAX_REQUEST:
             raise hiredis.ProtocolError("request too long")
         if len(data) >= position and data[position - 2 : position] != b"\r\n":
             raise hiredis.ProtocolError("a bulk string does not end where it says")
-    return position if position <= len(data) else 0
+    return position, True
 
 
-def check_partial_header(data: bytearray, position: int) -> int:
-    """Returns 0 for an incomplete header; raises hiredis.ProtocolError if it cannot become a valid one."""
+def check_partial_header(data: bytearray, position: int) -> None:
+    """Raises hiredis.ProtocolError if an incomplete header cannot become a valid one."""
     header = data[position : position + MAX_HEADER_BYTES]
     if b"\n" in header or len(header) == MAX_HEADER_BYTES or header[:1] not in (b"", b"*", b"$"):
         raise hiredis.ProtocolError("expected an array of bulk strings")
-    return 0
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -8,22 +8,30 @@
 from collections.abc import Callable
 
 from ...observe.events import record, register_gauge
-from ...sockets import listening_socket
+from ...pressure.memory import MemoryPool
+from ...pressure.turns import Turns
+from ...sockets import accept_queue_length, listening_socket
 from ...submission import PendingResult, Submission
 from .connection import Connection, Reply
 from .requests import BadRequest, RequestParser, error_reply, parse_submission, printable
 from .session import Session
 
 log = logging.getLogger(__name__)
+DEFAULT_POOL_SIZE = 64 << 20  # bytes; of a listener without a shared pool
 READ_BUFFER_BYTES = 65536  # largest number of bytes of one read
+SEND_BUFFER_BYTES = 65536  # of the kernel for one client: one that does not read is found out soon
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted: all clients may connect at once
 # At the connection limit, a connection without a request in flight may be closed after this time. Otherwise
 # clients that send one request and stay connected keep out the others, which retry on new connections.
 IDLE_BEFORE_EVICTION_S = 0.2
+UNREAD_BEFORE_EVICTION_S = 0.5  # the same while it does not read its replies: clients wait 0.4 s for one
 SILENT_BEFORE_EVICTION_S = 0.1  # the same before its first complete request, which clients send at once
 TIMEOUT_CHECK_INTERVAL_S = 0.2  # between checks for connections past a time limit
+REPEATING_COMMANDS = (b"ECHO", b"PING")  # their replies repeat what the client sent
 ACCEPTS_PER_TURN = 32  # new connections accepted in one iteration of the event loop
+MAX_EVICTIONS = 8  # connections closed in one iteration of the event loop to make room for new ones
 ACCEPT_PAUSE_S = 0.02  # between attempts to accept while the connection limit is reached
+SHED_AFTER_S = 0.05  # at the connection limit with no idle connection, until busy ones are closed
 # At the connection limit, time after which new connections get an error and are closed: clients wait 0.4 s.
 TURN_AWAY_AFTER_S = 0.3
 NO_DESCRIPTOR_BEFORE_EVICTION_S = 0.1  # without a free file descriptor, until an idle connection is closed
@@ -39,14 +47,22 @@
 class RespListener:
     """Accepts client connections up to `max_connections` and dispatches their requests.
 
-    `submit`: hands a message to the node; `password`: of AUTH, "" for none.
+    `submit`: hands a message to the node; `password`: of AUTH, "" for none; `pool`, `turns`: shared with
+    other listeners, None: of its own.
     """
 
     def __init__(
-        self, submit: Callable[[Submission], PendingResult], max_connections: int, password: str = ""
+        self,
+        submit: Callable[[Submission], PendingResult],
+        max_connections: int,
+        password: str = "",
+        pool: MemoryPool | None = None,
+        turns: Turns | None = None,
     ) -> None:
         self.submit, self.max_connections, self.password = submit, max_connections, password
         self.loop = asyncio.get_running_loop()
+        self.pool = pool or MemoryPool(DEFAULT_POOL_SIZE, self.loop.time, self.loop.call_later)
+        self.turns = turns or Turns(self.loop.time, self.loop.call_soon)
         self.parser = RequestParser()
         # Shared by all connections: each read is copied out before the next one starts.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
@@ -63,7 +79,7 @@
 
     async def listen(self, address: tuple[str, int]) -> None:
         """Starts to listen and to check timeouts."""
-        self.socket = listening_socket(address, LISTEN_BACKLOG)
+        self.socket = listening_socket(address, LISTEN_BACKLOG, SEND_BUFFER_BYTES)
         self.resume_accepting()
         self.check_timeouts()
 
@@ -116,12 +132,15 @@
         """Accepts waiting connections; at the limit, evicts an idle one, pauses, or turns a new one away."""
         assert self.socket is not None
         aborted = 0
+        waiting = min(MAX_EVICTIONS, max(1, accept_queue_length(self.socket)))
         for accepted in range(ACCEPTS_PER_TURN):
             if len(self.connections) < self.max_connections:
                 self.full_since = None
-            elif accepted or self.evict_one():
-                return  # continues in the next iteration, when an evicted connection's descriptor is free
-            elif not self.has_been_full_too_long():
+            elif accepted or self.evict(waiting):
+                return  # continues in the next iteration, when the evicted connections' descriptors are free
+            elif self.time_full() > SHED_AFTER_S and self.shed_busiest(waiting):
+                return
+            elif self.time_full() <= TURN_AWAY_AFTER_S:
                 return self.pause_accepting()
             try:
                 peer, _ = self.socket.accept()
@@ -153,47 +172,62 @@
         # EMFILE: the descriptor table of this process is full. Only then does closing a connection help.
         if error.errno == errno.EMFILE and now - self.accept_failing_since > NO_DESCRIPTOR_BEFORE_EVICTION_S:
             self.accept_failing_since = now
-            self.evict_one()
+            self.evict(1)
         self.pause_accepting()
 
-    def has_been_full_too_long(self) -> bool:
-        """Whether the connection limit has been reached for more than TURN_AWAY_AFTER_S."""
+    def time_full(self) -> float:
+        """Returns for how long the connection limit has been reached, s."""
         now = self.loop.time()
         self.full_since = now if self.full_since is None else self.full_since
-        return now - self.full_since > TURN_AWAY_AFTER_S
+        return now - self.full_since
+
+    def shed_busiest(self, count: int) -> bool:
+        """Closes up to `count` of the connections that send more than is handled, the busiest first.
+
+        Otherwise as many of them as the limit allows would keep out all others. Returns False if none does.
+        """
+        sending = [c for c in self.connections if c.reading_paused and not c.ignore_input and not c.closing]
+        busiest = sorted(sending, key=lambda c: -c.requests)[:count]
+        for connection in busiest:
+            connection.give_way()
+        return bool(busiest)
 
-    def evict_one(self) -> bool:
-        """Closes one idle connection, so that silent clients cannot keep out active ones.
+    def evict(self, count: int) -> bool:
+        """Closes up to `count` idle connections, so that silent clients cannot keep out active ones.
 
-        Lingering connections are closed first, then those that have sent no complete request, then those
-        without a request in flight; of each kind the longest idle one. One with an unread request is kept.
-        Returns False if there is none to close.
+        Lingering connections are closed first, then those with no complete request or with a part of one,
+        then those without a request in flight; of each kind the longest idle one. One with an unread request
+        is kept. Returns False if there is none to close.
         """
-        if self.lingering:
-            connection = min(self.lingering, key=lambda c: c.last_activity)
+        evicted = 0
+        for connection in sorted(self.lingering, key=lambda c: c.last_activity)[:count]:
             self.lingering.discard(connection)
             if connection.transport is not None:
                 connection.transport.abort()
-            return True
+            evicted += 1
+        for connection in self.evictable() if evicted < count else ():
+            if connection.has_unread_request():
+                continue
+            connection.evict()
+            evicted += 1
+            if evicted == count:
+                break
+        return evicted > 0
+
+    def evictable(self) -> list[Connection]:
+        """Returns the idle connections, in the order in which they are to be closed."""
         now = self.loop.time()
-        evictable = [
-            (c.has_requested, c.last_activity, c)
+        evictable: list[tuple[bool, float, Connection]] = [
+            (c.has_requested and not c.buffer, c.idle_since, c)
             for c in self.connections
-            if not c.closing and not c.replies and not (c.has_requested and c.buffer)
-            and now - c.last_activity
+            if not c.closing and not c.ignore_input and not c.replies and not c.read_scheduled
+            and not c.write_paused and now - c.idle_since
             > (IDLE_BEFORE_EVICTION_S if c.has_requested else SILENT_BEFORE_EVICTION_S)
         ]  # fmt: skip
-        for has_requested, _, connection in sorted(evictable, key=lambda candidate: candidate[:2]):
-            if connection.has_unread_data():
-                continue
-            connection.close_reason = "room"
-            connection.close() if has_requested else connection.close_with_error(
-                "no request, and room is short"
-            )
-            if connection.transport is not None:
-                connection.transport.close()  # at once: the file descriptor is needed
-            return True
-        return False
+        not_reading = [
+            c for c in self.connections if c.write_paused and now - c.last_activity > UNREAD_BEFORE_EVICTION_S
+        ]
+        return not_reading + [c for _, _, c in sorted(evictable, key=lambda candidate: candidate[:2])]
 
     def add_connection(self, peer: socket.socket) -> None:
         """Starts serving an accepted connection."""
@@ -247,10 +281,15 @@
 
     # --- requests ---
 
-    def handle_request(self, request: list[bytes], session: Session) -> Reply:
-        """Handles a request; returns the encoded reply or the pending result of a submission."""
+    def handle_request(self, request: list[bytes], session: Session, room: int) -> Reply:
+        """Handles a request; returns the encoded reply or the pending result of a submission.
+
+        `room`: bytes that the reply may take; only a reply that repeats a part of the request can be larger.
+        """
         name, *args = request
         try:
+            if name.upper() in REPEATING_COMMANDS and sum(map(len, args)) > room:
+                raise BadRequest("memory is short")
             if (reply := session.handle(name, args)) is not None:
                 return reply
             if name.upper() == b"PING":
--- a/rainpier/fronts/resp/session.py
+++ b/rainpier/fronts/resp/session.py
@@ -4,6 +4,7 @@
 protocol specification, "Client handshake"); messages are submitted in the same way in both.
 """
 
+import functools
 import itertools
 from collections.abc import Callable
 from typing import ClassVar
@@ -50,6 +51,18 @@
     return b"*%d\r\n%s" % (len(items), b"".join(items))
 
 
+def encode_command(name: str) -> bytes:
+    """Encodes the COMMAND INFO entry of a known command."""
+    numbers = [b":%d\r\n" % (1 if name == "msg.put" else 0)] * 3  # first key, last key, step
+    return array([bulk_text(name), b":%d\r\n" % COMMANDS[name], array([]), *numbers])
+
+
+@functools.cache
+def all_commands() -> bytes:
+    """Returns the reply to COMMAND, which is the same for all clients."""
+    return array([encode_command(name) for name in COMMANDS])
+
+
 def check_argument_count(args: list[bytes], minimum: int, maximum: int, name: str) -> None:
     """Raises BadRequest unless the number of arguments is within the limits."""
     if not minimum <= len(args) <= maximum:
@@ -230,21 +243,17 @@
             return self.encode_map([])
         if subcommand == b"LIST":
             return array([bulk_text(name) for name in COMMANDS])
-        names = (
-            [arg.decode("latin-1").lower() for arg in args[1:]]
-            if subcommand == b"INFO" and args[1:]
-            else COMMANDS
-        )
         if subcommand not in (b"", b"INFO"):
             raise BadRequest(f"unknown subcommand {printable(args[0])} of 'COMMAND'")
-        return array([self.command_info(name) for name in names])
+        if not args[1:]:
+            return all_commands()
+        return array([self.command_info(arg.decode("latin-1").lower()) for arg in args[1:]])
 
     def command_info(self, name: str) -> bytes:
         """Encodes the COMMAND INFO entry of one command, null if it is unknown."""
         if name not in COMMANDS:
             return b"*-1\r\n" if self.protocol == 2 else NULL_RESP3
-        numbers = [b":%d\r\n" % (1 if name == "msg.put" else 0)] * 3  # first key, last key, step
-        return array([bulk_text(name), b":%d\r\n" % COMMANDS[name], array([]), *numbers])
+        return encode_command(name)
 
     def config(self, args: list[bytes]) -> bytes:
         """Handles CONFIG GET with an empty map; raises BadRequest for anything else."""
--- a/rainpier/host.py
+++ b/rainpier/host.py
@@ -8,6 +8,9 @@
 from .config.build import Config
 from .membership.source import EndpointSource
 from .node.node import Node
+from .observe.events import register_gauge
+from .observe.process import memory_use
+from .pressure.memory import MemoryPool, plan_memory
 from .sinks.sink import CompletionSink
 from .store.files import FolderContended, FolderInUse
 
@@ -40,6 +43,22 @@
         raise FolderContended(str(error)) from error
 
 
+def divide_memory(node: Node, config: Config) -> MemoryPool:
+    """Limits what held messages may take, and returns the pool of memory for the clients of all listeners.
+
+    To be called once the node has started, since what the process uses then is not to be divided.
+    """
+    loop = asyncio.get_running_loop()
+    connections = config.client_descriptors + (config.amqp.connections if config.amqp else 0)
+    plan = plan_memory(config.memory, memory_use().resident, config.settings.slots, connections)
+    log.info("memory: %d bytes for clients, %d bytes for messages", plan.clients, plan.messages)
+    node.admission.max_bytes = plan.messages
+    pool = MemoryPool(plan.clients, loop.time, loop.call_later)
+    register_gauge("client_bytes", lambda: pool.used)
+    register_gauge("clients_without_room", lambda: len(pool.waiting))
+    return pool
+
+
 async def shut_down(node: Node, listeners: Sequence[Listener], requested_at: float) -> None:
     """Stops the node: accepts until LISTEN_UNTIL, then waits for calls in flight until SHUTDOWN_DEADLINE.
 
--- a/rainpier/node/admission.py
+++ b/rainpier/node/admission.py
@@ -7,12 +7,14 @@
 import asyncio
 import logging
 import math
+import sys
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from .. import interface as i
 from ..observe.events import record
 from ..policy import EVICTION_THRESHOLD
+from ..pressure.memory import MESSAGE_MEMORY
 from ..store.entry import Entry
 from ..submission import (
     Accepted,
@@ -28,6 +30,7 @@
 from .endpoints import EndpointRegistry
 
 MAX_LIFETIME_FACTOR = 2  # largest lifetime of a message, as a multiple of the deadline of its class
+BODY_COPIES = 2  # of a body in memory: while its message is sent
 ADMISSION_RETRY_AFTER = 1000  # ms; retry-after of submissions that are refused without the policy
 
 
@@ -54,6 +57,8 @@
         self.core, self.store, self.completions, self.endpoints = core, core.store, completions, endpoints
         self.pending: dict[int, PendingSubmission] = {}  # by message number, until the next round
         self.pending_by_id: dict[str, PendingSubmission] = {}
+        self.pending_bytes = 0  # cost of the pending messages in the store
+        self.max_bytes = sys.maxsize  # of the memory for held and pending messages
 
     def submit(self, submission: Submission) -> PendingResult:
         """Takes a message from a client. Returns the result, or a future where a round has to decide."""
@@ -71,13 +76,26 @@
         if destination is None or not self.endpoints.serves(destination):  # discovery has not reported it yet
             self.record_refusal(submission.id, submission.cls, submission.destination, "not_listed_yet")
             return RetryLater(ADMISSION_RETRY_AFTER)
-        full = self.message_count >= self.core.settings.max_open
-        if full or not self.store.has_room(submission.body):
-            reason = "too_many_held" if full else "no_store_room"
+        if reason := self.shortage(submission.body):
             self.record_refusal(submission.id, submission.cls, submission.destination, reason)
             return RetryLater(ADMISSION_RETRY_AFTER)
         return self.enqueue(submission, destination).result
 
+    def shortage(self, body: bytes) -> str:
+        """Returns why there is no room for one more message with this body; "" if there is."""
+        if self.message_count >= self.core.settings.max_open:
+            return "too_many_held"
+        if not self.store.has_room(body, self.pending_bytes):
+            return "no_store_room"
+        needed = self.held_bytes + BODY_COPIES * len(body) + MESSAGE_MEMORY
+        return "" if needed <= self.max_bytes else "no_memory"
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the held and pending messages."""
+        bodies = self.store.live_bytes + self.pending_bytes
+        return BODY_COPIES * bodies + self.message_count * MESSAGE_MEMORY
+
     def validation_error(self, submission: Submission) -> str:
         """Returns the error text for an invalid submission; "" for a valid one."""
         core, dest = self.core, submission.destination
@@ -128,6 +146,7 @@
         pending = self.pending[number] = self.pending_by_id[submission.id] = PendingSubmission(
             entry, core.loop.create_future()
         )
+        self.pending_bytes += self.store.message_cost(len(entry.body) + len(entry.id) + len(entry.token))
         flags = submission.repeated, submission.inherited
         core.push(i.Arrival(number, cls, destination, deadline, key, tenant, *flags))
         return pending
@@ -135,6 +154,7 @@
     def start_round(self) -> dict[int, PendingSubmission]:
         """Returns the submissions that the round now starting decides on, by message number."""
         round_submissions, self.pending, self.pending_by_id = self.pending, {}, {}
+        self.pending_bytes = 0
         return round_submissions
 
     def resolve(self, pending: PendingSubmission, decision: i.Refuse | i.Fail | None) -> None:
@@ -182,10 +202,9 @@
 
     @property
     def full(self) -> bool:
-        """Whether one more message would make the policy evict one, or the store has no room."""
-        return self.message_count >= max(
-            1, math.floor(EVICTION_THRESHOLD * self.core.settings.max_open)
-        ) or not self.store.has_room(b"")
+        """Whether one more message would make the policy evict one, or there is no room for it."""
+        threshold = max(1, math.floor(EVICTION_THRESHOLD * self.core.settings.max_open))
+        return self.message_count >= threshold or bool(self.shortage(b""))
 
     @property
     def entries(self) -> Iterator[Entry]:
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -17,10 +17,11 @@
 from .fronts.amqp.context import build_routes, session_context
 from .fronts.amqp.server import AmqpListener
 from .fronts.resp.server import RespListener
-from .host import open_node, shut_down
+from .host import divide_memory, open_node, shut_down
 from .membership.file import FileSource, discovered_endpoints
 from .node.node import Node
 from .observe.events import counts, gauges
+from .pressure.turns import Turns
 from .sinks.file import FileSink
 from .sinks.http import HttpSink
 from .sinks.sink import CompletionSink
@@ -104,7 +105,10 @@
             now = node.core.now
             sink.recover(e.id for e in node.store.entries.values() if e.end or e.deadline <= now)
         await node.start()
-        self.resp_listener = RespListener(node.submit, config.client_descriptors, self.model.resp.password)
+        pool, turns = divide_memory(node, config), Turns(loop.time, loop.call_soon)
+        self.resp_listener = RespListener(
+            node.submit, config.client_descriptors, self.model.resp.password, pool, turns
+        )
         await retry_until_available("listen", lambda: self.resp_listener.listen(config.listen), self.stop)
         await self.listen_amqp(node, config)
         control = Control(config.state / CONTROL_SOCKET_NAME, {"status": self.status})
--- a/rainpier/sockets.py
+++ b/rainpier/sockets.py
@@ -8,12 +8,24 @@
 import asyncio
 import errno
 import socket
+import sys
 from contextlib import suppress
+from enum import Enum
 
 from .selector import THROTTLE
 
 TRANSIENT = frozenset((errno.ENOMEM, errno.ENOBUFS))
 SETSOCKOPT_ATTEMPTS = 3  # then the option stays unset
+TCP_INFO_UNACKED = 24  # offset of tcpi_unacked, of a listening socket the length of its accept queue
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8  # states of a TCP connection in TCP_INFO (linux/tcp.h)
+
+
+class PeerState(Enum):
+    """What the peer has done, as far as its machine has told, even if there is unread data."""
+
+    CONNECTED = "connected"  # also where the state can't be read
+    FINISHED = "finished"  # sends no more; it may still read, or be gone
+    GONE = "gone"  # has reset the connection
 
 
 class RetryingSocket(socket.socket):
@@ -79,12 +91,18 @@
     return sock
 
 
-def listening_socket(address: tuple[str, int], backlog: int) -> RetryingSocket:
-    """Opens a non-blocking listening socket. If that raises OSError, no descriptor stays open."""
+def listening_socket(address: tuple[str, int], backlog: int, send_buffer: int = 0) -> RetryingSocket:
+    """Opens a non-blocking listening socket. If that raises OSError, no descriptor stays open.
+
+    `send_buffer`: bytes that the kernel holds for a peer that does not read; 0: as many as it chooses.
+    """
     sock = RetryingSocket(address_family(address[0]), socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if send_buffer:
+            with suppress(OSError):  # a limit that the peers' connections work without
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
         if sock.family == socket.AF_INET6:
             with suppress(OSError):  # fails on systems without IPv4, where the option is not needed
                 sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
@@ -96,6 +114,34 @@
     return sock
 
 
+def peer_state(sock: socket.socket) -> PeerState:
+    """Returns what the peer has done. Unlike a read, this looks past the data that is still unread."""
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except (OSError, IndexError):
+        return PeerState.CONNECTED
+    if state == TCP_CLOSE:
+        return PeerState.GONE
+    return PeerState.FINISHED if state == TCP_CLOSE_WAIT else PeerState.CONNECTED
+
+
+def accept_queue_length(listening: socket.socket) -> int:
+    """Returns how many connections wait to be accepted; 0 where that can't be read."""
+    try:
+        info = listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_UNACKED + 4)
+    except OSError:
+        return 0
+    return int.from_bytes(info[TCP_INFO_UNACKED : TCP_INFO_UNACKED + 4], sys.byteorder)
+
+
+def unread_bytes(sock: socket.socket, buffer: memoryview) -> int:
+    """Returns how many bytes can be read at once, at most as many as fit into `buffer`. Raises OSError.
+
+    BlockingIOError: there are none now; 0: the stream has ended. MSG_TRUNC keeps them from being copied.
+    """
+    return sock.recv_into(buffer, len(buffer), socket.MSG_PEEK | socket.MSG_DONTWAIT | socket.MSG_TRUNC)
+
+
 def end_writing(transport: asyncio.Transport) -> None:
     """Half-closes the connection; aborts it if the peer has already closed it."""
     try:
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -671,13 +671,16 @@
         self.entry_sizes[entry.number] = size
         self.live_bytes += size
 
-    def has_room(self, body: bytes) -> bool:
-        """Whether one more message can be accepted, with room for all records that will follow for it."""
+    def has_room(self, body: bytes, pending: int = 0) -> bool:
+        """Whether one more message can be accepted, with room for all records that will follow for it.
+
+        `pending`: cost of the messages that wait to be accepted, bytes.
+        """
         if self.deferred or self.sync_failed or self.degraded:
             return False
         completed = len(self.state.completed_until) * COMPLETED_ID_SIZE
         return (
-            self.live_bytes + completed + self.message_cost(len(body) + ID_AND_TOKEN_SIZE)
+            self.live_bytes + pending + completed + self.message_cost(len(body) + ID_AND_TOKEN_SIZE)
             <= LIVE_SHARE * self.disk_limit
         )
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -427,7 +427,7 @@
             await asyncio.sleep(0.01)
             os.write(first.writer.get_extra_info("socket").fileno(), encode_submission("a"))
             # The event loop has not read the request yet: the connection counts as the longest idle one.
-            assert listener.evict_one()
+            assert listener.evict(1)
             assert await first.read_reply() == "OK" and [m.id for m in submitted] == ["a"]
             assert await second.read_reply() is None
 
