Do not accept requests of a client that has left, however much it sent before

Cause: the end of a connection is seen only behind all the data before it, so that everything in the socket was read and accepted first. Change: before each turn the connection's TCP state is read, which tells of an end or a reset ahead of unread data. After a reset nothing more is handled.

--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -12,7 +12,7 @@
 from ...observe.events import record
 from ...pressure.memory import MemoryPool, Share
 from ...pressure.turns import TURN_S, Turns
-from ...sockets import end_writing, unread_bytes
+from ...sockets import PeerState, end_writing, peer_state, unread_bytes
 from ...submission import PendingResult, RetryLater
 from .requests import RequestParser, announced_end, encode_result, error_reply, find_request_end
 from .session import Session
@@ -208,7 +208,7 @@
         connections and use much memory.
         """
         self.read_scheduled = False
-        if self.closing:
+        if self.closing or self.has_left():
             return False
         try:
             self.read_scheduled = self.handle_requests()
@@ -260,6 +260,22 @@
         if isinstance(reply, bytes):
             self.reply_bytes += len(reply)
 
+    def has_left(self) -> bool:
+        """Checks whether the client is gone; if so, drops what it sent and closes.
+
+        Requests that were not handled by then must not be accepted: their client may submit them again
+        elsewhere. Those that were accepted stay accepted.
+        """
+        if self.peer_finished and self.replies:
+            return False  # whether it is gone shows once they are written
+        state = peer_state(self.sock)
+        self.peer_finished = self.peer_finished or state is PeerState.FINISHED
+        if state is not PeerState.GONE or self.transport is None:
+            return False
+        self.close_reason = self.close_reason or "client_left"
+        self.transport.abort()
+        return True
+
     def resume_processing(self) -> None:
         """Continues after back-pressure, with the buffered requests before unread ones."""
         if self.buffer and not self.read_scheduled and not self.closing:
