Remember ids of messages that must not run twice apart from those that may be repeated

Cause: ids of completed messages were remembered until the deadline, and only the latest 2,500 (5 % of 3 MB): other messages, also repeatable ones of one client at full speed, displaced a charge's id before its deadline; a copy that was read late, or came again behind a short deadline, was accepted anew. Change: ids of unsafe and keyed messages have a limit of their own (10 % of the disk limit), repeatable ones never displace them; they are kept for 30 s beyond the deadline unless handed back. Where no id may be dropped yet, unsafe and keyed submissions get BUSY. The SEEN record's unused byte tells the kind; records of earlier builds count as the stricter one.

--- a/rainpier/node/admission.py
+++ b/rainpier/node/admission.py
@@ -30,6 +30,7 @@
 from .endpoints import EndpointRegistry
 
 MAX_LIFETIME_FACTOR = 2  # largest lifetime of a message, as a multiple of the deadline of its class
+COMPLETED_ID_MEMORY = 320  # bytes of the remembered id of a completed message
 BODY_COPIES = 2  # of a body in memory: while its message is sent
 ADMISSION_RETRY_AFTER = 1000  # ms; retry-after of submissions that are refused without the policy
 
@@ -76,13 +77,16 @@
         if destination is None or not self.endpoints.serves(destination):  # discovery has not reported it yet
             self.record_refusal(submission.id, submission.cls, submission.destination, "not_listed_yet")
             return RetryLater(ADMISSION_RETRY_AFTER)
-        if reason := self.shortage(submission.body):
+        effect = self.core.settings.classes[self.core.classes[submission.cls]].effect
+        if reason := self.shortage(submission.body, effect):
             self.record_refusal(submission.id, submission.cls, submission.destination, reason)
             return RetryLater(ADMISSION_RETRY_AFTER)
         return self.enqueue(submission, destination).result
 
-    def shortage(self, body: bytes) -> str:
+    def shortage(self, body: bytes, effect: i.Effect = i.Effect.SAFE) -> str:
         """Returns why there is no room for one more message with this body; "" if there is."""
+        if effect is not i.Effect.SAFE and not self.store.state.can_guard(self.core.now):
+            return "too_many_ids"
         if self.message_count >= self.core.settings.max_open:
             return "too_many_held"
         if not self.store.has_room(body, self.pending_bytes):
@@ -94,7 +98,8 @@
     def held_bytes(self) -> int:
         """Memory of the held and pending messages."""
         bodies = self.store.live_bytes + self.pending_bytes
-        return BODY_COPIES * bodies + self.message_count * MESSAGE_MEMORY
+        ids = len(self.store.state.completed_until) * COMPLETED_ID_MEMORY
+        return BODY_COPIES * bodies + self.message_count * MESSAGE_MEMORY + ids
 
     def validation_error(self, submission: Submission) -> str:
         """Returns the error text for an invalid submission; "" for a valid one."""
--- a/rainpier/node/completions.py
+++ b/rainpier/node/completions.py
@@ -14,12 +14,12 @@
 from ..observe.events import record
 from ..sinks.sink import CompletionSink
 from ..store.entry import Entry
+from ..store.records import GIVEN_UP, HANDED_BACK
 from ..structures.schedule import Schedule
 from ..submission import Submission
 from .core import Core
 
 log = logging.getLogger(__name__)
-GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 DELIVERED, OVER = "delivered", "over"  # OVER: closed by the receiver without a delivery
 OVERDUE_GRACE_MS = 100.0  # after the deadline; then a message is given up without a decision of the policy
 
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -37,7 +37,7 @@
 #   BEGIN      time, zone; then a BEGUN for each message: number, attempts
 #   RESULT     number, outcome; repeated for each message
 #   END        number, end, retry
-#   SEEN       time, 0; then the id
+#   SEEN       time, 1 if the message was repeatable, else 0; then the id
 #   TIME       (of WAIT and OUTAGE) time; then the route
 #   CLASS      number, effect, group, repeat window in ms; then the name
 #   START      processes so far, time
@@ -58,7 +58,8 @@
 # Flags of a MESSAGE record: its id and its token are hexadecimal digits, packed two to a byte; it has an
 # ordering key, a PROGRESS, a reply queue, a tenant.
 HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT = 1, 2, 4, 8, 16, 32
-ENDS = ("", "given_up", "handed_back")  # final statuses; records hold the position
+GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
+ENDS = ("", GIVEN_UP, HANDED_BACK)  # final statuses; records hold the position
 GROUPS = ("all", "zone")  # records hold the position
 
 
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -4,7 +4,7 @@
 import struct
 from dataclasses import dataclass, field
 
-from ..interface import Outcome
+from ..interface import Effect, Outcome
 from . import records as codec
 from .clock import ClockAnchor, ClockReading
 from .destinations import Destinations, decode, moved_ids
@@ -14,6 +14,9 @@
 
 ClassTerms = tuple[str, int, str, float]  # a class version: name, effect, group, repeat window in ms
 UNKNOWN_TIME = 1.0  # Unix ms, long ago: stands for the start of an attempt whose time is not known any more
+# For which the id of a message that may have run, and may not run again, is remembered beyond its deadline: a
+# copy of its submission may be read late, or come again from a client that gave up waiting.
+RESUBMISSION_TIME_MS = 30_000.0
 CLOCK_TOLERANCE_MS = 1000.0  # a clock this far behind the last record does not count as set back
 
 
@@ -40,7 +43,11 @@
     completed_id_segment: dict[str, int] = field(default_factory=dict)  # by id: segment that remembers it
     names_segment: int = 0  # the segment with the latest NAMES record
     orphans: set[int] = field(default_factory=set)  # messages that records refer to without a MESSAGE record
-    max_completed_ids: int = 10_000  # limit for completed_until: the latest are kept
+    # The ids in completed_until, the oldest first, by whether a second run of the message would do harm.
+    repeatable_ids: dict[str, None] = field(default_factory=dict)
+    guarded_ids: dict[str, None] = field(default_factory=dict)
+    max_completed_ids: int = 10_000  # limit for repeatable_ids: the latest are kept
+    max_guarded_ids: int = 20_000  # limit for guarded_ids: the latest are kept
     max_routes: int = 4096  # limit for retry-after deadlines and for outages: the latest are kept
     clock_rollback_ms: float = 0.0  # total by which the clock was set back
 
@@ -109,29 +116,63 @@
             self.forget(number)
 
     def forget(self, number: int) -> None:
-        """Drops a completed message; its id is remembered until the message's deadline."""
+        """Drops a completed message; its id is remembered until the message's deadline at least."""
         self.orphans.discard(number)
         entry = self.entries.pop(number, None)
         if entry is None:
             return
         self.numbers.pop(entry.id, None)
         self.record_seq.pop(number, None)
-        self.remember_completed(entry.id, entry.deadline, self.home_segment.pop(number))
+        repeatable = entry.effect == Effect.SAFE
+        may_return = not repeatable and entry.end != codec.HANDED_BACK
+        until = entry.deadline + RESUBMISSION_TIME_MS * may_return
+        self.remember_completed(entry.id, until, self.home_segment.pop(number), repeatable)
 
-    def remember_completed(self, message_id: str, until: float, segment: int) -> None:
-        """Remembers a completed id, and drops the oldest beyond the limit."""
+    def remember_completed(
+        self, message_id: str, until: float, segment: int, repeatable: bool = False
+    ) -> None:
+        """Remembers a completed id, and drops the oldest of its kind beyond the limit.
+
+        `repeatable`: a second run of the message does no harm. Such ids never displace the others.
+        """
+        self.forget_completed(message_id)
         self.completed_until[message_id], self.completed_id_segment[message_id] = until, segment
-        if len(self.completed_until) > self.max_completed_ids:
-            oldest = next(iter(self.completed_until))
-            del self.completed_until[oldest], self.completed_id_segment[oldest]
+        ids, limit = (
+            (self.repeatable_ids, self.max_completed_ids)
+            if repeatable
+            else (self.guarded_ids, self.max_guarded_ids)
+        )
+        ids[message_id] = None
+        if len(ids) > limit:
+            self.forget_completed(next(iter(ids)))
+
+    def forget_completed(self, message_id: str) -> None:
+        """Drops a completed id, if it is remembered."""
+        self.completed_until.pop(message_id, None)
+        self.completed_id_segment.pop(message_id, None)
+        self.repeatable_ids.pop(message_id, None)
+        self.guarded_ids.pop(message_id, None)
+
+    def can_guard(self, now: float) -> bool:
+        """Whether the id of one more message can be remembered without dropping one before its deadline.
+
+        Drops one beyond its deadline if that is needed.
+        """
+        if len(self.guarded_ids) + len(self.entries) < self.max_guarded_ids:
+            return True
+        oldest = next(iter(self.guarded_ids), None)
+        if oldest is None or self.completed_until[oldest] - RESUBMISSION_TIME_MS > now:
+            return False
+        self.forget_completed(oldest)
+        return True
 
     def on_seen(self, data: bytes, segment: int, seq: int) -> None:
         """Remembers the id of a completed message."""
-        until, _ = codec.SEEN.unpack_from(data)
+        until, repeatable = codec.SEEN.unpack_from(data)
         message_id = data[codec.SEEN.size :].decode()
         if (number := self.numbers.get(message_id)) is not None:  # its OVER record was lost by a failed fsync
             self.forget(number)
-        self.remember_completed(message_id, until, segment)
+        self.remember_completed(message_id, until, segment, bool(repeatable))
 
     def on_next(self, data: bytes, segment: int, seq: int) -> None:
         """Raises the number of the next message, so that no number is used twice."""
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -38,6 +38,7 @@
 LIVE_SHARE = 0.3
 # Bytes for the remembered id of a completed message, and the share of the disk limit for all of them.
 COMPLETED_ID_SIZE, COMPLETED_IDS_SHARE = 60, 0.05
+GUARDED_IDS_SHARE = 0.1  # the same for ids of messages that must not run twice
 # Bytes that a message's records take beside body, id and token, its progress and final status included.
 PROGRESS_SIZE = 160
 COMPACTION_SHARE = 0.6  # of the disk limit: from there on the oldest segment is compacted
@@ -181,6 +182,7 @@
         )
         return State(
             max_completed_ids=int(COMPLETED_IDS_SHARE * self.disk_limit / COMPLETED_ID_SIZE),
+            max_guarded_ids=int(GUARDED_IDS_SHARE * self.disk_limit / COMPLETED_ID_SIZE),
             max_routes=max_routes,
         )
 
@@ -414,10 +416,7 @@
     def snapshot_records(self) -> list[tuple[int, bytes]]:
         """Returns records of the whole state: all remembered ids, the names and all messages."""
         state = self.state
-        records = [
-            (Kind.SEEN, codec.SEEN.pack(until, 0) + message_id.encode())
-            for message_id, until in state.completed_until.items()
-        ]
+        records = [self.completed_id_record(message_id) for message_id in state.completed_until]
         records += [(Kind.NAMES, destinations.encode(state.destinations))] if state.destinations else []
         for entry in state.entries.values():
             number, declaration = self.class_number_of(entry)
@@ -425,6 +424,12 @@
             records.append((Kind.MESSAGE, codec.encode_message(entry, number)))
         return records
 
+    def completed_id_record(self, message_id: str) -> tuple[int, bytes]:
+        """Encodes the SEEN record of a remembered id."""
+        state = self.state
+        head = codec.SEEN.pack(state.completed_until[message_id], message_id in state.repeatable_ids)
+        return Kind.SEEN, head + message_id.encode()
+
     @staticmethod
     def class_record(number: int, terms: tuple[str, int, str, float]) -> bytes:
         """Encodes the payload of a CLASS record."""
@@ -842,8 +847,7 @@
                 kept.append(message_id)
             else:
                 segment.completed_ids.discard(message_id)
-                state.completed_until.pop(message_id, None)
-                state.completed_id_segment.pop(message_id, None)
+                state.forget_completed(message_id)
         return kept
 
     def relocate_next(self, victim: Segment, now: float) -> int:
@@ -860,10 +864,7 @@
             records.append((Kind.MESSAGE, codec.encode_message(entry, number)))
         elif victim.completed_ids:
             ids = self.unexpired_ids(victim, now)
-            records = [
-                (Kind.SEEN, codec.SEEN.pack(state.completed_until[message_id], 0) + message_id.encode())
-                for message_id in ids
-            ]
+            records = [self.completed_id_record(message_id) for message_id in ids]
             if not ids:
                 return 1  # expired ids were dropped, which counts as progress
         else:
