Write no call to a process that has taken the place of the one it was meant for

Cause, found by test: a call that was still connecting when the list told of the replacement was written within half of the drain's grace, at an address that was another destination's by then; a call whose receiver moved, or was given to another destination, was written too, and its connection to the former address was kept for the receiver's next calls. Change: a call knows the process that it connects to (address and start). It is held back once the receiver has moved, was restarted or serves another destination, or has gone while another one is ready at its address; its connection is not kept. Brokers included. Measured: the four cases of a replaced process and the restarted endpoint failed before and pass; 391 tests of nodes, receivers, AMQP, edits pass.

--- a/rainpier/carriers/amqp/brokers.py
+++ b/rainpier/carriers/amqp/brokers.py
@@ -172,6 +172,7 @@
 
     async def prepare(self, call: Call, may_write: MayWrite) -> tuple[BrokerConnection, list[ConfirmChannel]]:
         """Gets a connection, a channel for each message and permission to write. Raises NotPublished."""
+        call.process = call.receiver.process
         try:
             connection = await self.open_connection()
         except (OSError, ConnectFailed) as error:
--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -61,6 +61,14 @@
         ...
 
 
+@dataclass(slots=True, frozen=True)
+class ReceiverProcess:
+    """What tells one process of a receiver from another: where it listens, and when it started (Unix ms)."""
+
+    address: tuple[str, int]
+    started_at: float
+
+
 @dataclass(slots=True, eq=False)
 class Receiver:
     """A discovered endpoint that receives calls, with its idle connections."""
@@ -75,6 +83,11 @@
     open_calls: int = 0  # calls to it that have not ended
     transport: "Transport | None" = None  # None: its calls go over HTTP
 
+    @property
+    def process(self) -> ReceiverProcess:
+        """The process that the endpoint list tells of now."""
+        return ReceiverProcess(self.address, self.entry.added)
+
 
 @dataclass(slots=True, eq=False)
 class Call:
@@ -91,6 +104,7 @@
     open: bool = True  # has not ended
     connection: int = 0  # number of the connection that carries it; 0 before it is written
     uses: int = 0  # calls on that connection so far, including this one
+    process: "ReceiverProcess | None" = None  # that its connection was opened to; None before
 
     def ids(self) -> str:
         """Returns the ids of its messages separated by commas, for the log."""
@@ -159,6 +173,7 @@
         self.on_partial_result: PartialResultListener = lambda call, entry, outcome: None
         self.calls: set[Call] = set()
         self.by_number: dict[int, Receiver] = {}
+        self.ready_by_address: dict[tuple[str, int], set[int]] = {}  # numbers of the receivers that are ready
         self.idle = IdleConnections(settings.keep_alive / 1000 * MAX_IDLE_SHARE)
         self.check_idle()
 
@@ -174,13 +189,33 @@
             transports = self.transports
             receiver.transport = transports.create(entry, address) if transports is not None else None
         ready = entry.condition is i.Condition.READY
-        if not ready or address != receiver.address:
+        if not ready or ReceiverProcess(address, entry.added) != receiver.process:
             self.close_idle(receiver)
+        self.remove_ready(receiver)
+        if ready:
+            self.ready_by_address.setdefault(address, set()).add(entry.endpoint)
         if receiver.transport is not None:
             receiver.transport.update(address, ready)
         receiver.address, receiver.entry = address, entry
         receiver.drain_notified_at = math.inf if ready else min(receiver.drain_notified_at, self.loop.time())
 
+    def remove_ready(self, receiver: Receiver) -> None:
+        """Takes a receiver out of those that are ready at its address."""
+        ready = self.ready_by_address.get(receiver.address, set())
+        ready.discard(receiver.entry.endpoint)
+        if not ready:
+            self.ready_by_address.pop(receiver.address, None)
+
+    def is_replaced(self, call: Call) -> bool:
+        """Whether another process may answer where the call is connected to.
+
+        The receiver has moved or was restarted, or it drains or is gone and another is ready at its address.
+        """
+        receiver = call.receiver
+        return call.process not in (None, receiver.process) or (
+            receiver.entry.condition is not i.Condition.READY and receiver.address in self.ready_by_address
+        )
+
     def forget(self, number: int) -> bool:
         """Removes a receiver that is gone; returns False while it is not gone or a call to it is open."""
         receiver = self.by_number.get(number)
@@ -222,6 +257,7 @@
         result, connection = None, None
         try:
             async with asyncio.timeout_at(call.deadline):
+                call.process = call.receiver.process
                 connection = await self.connect(call.receiver)
                 if await await_permission(call, self.may_write):
                     call.connection, call.uses = connection.number, connection.uses + 1
@@ -305,15 +341,16 @@
         self.calls.discard(call)
         call.receiver.open_calls -= 1
         if connection is not None:
-            self.release(call.receiver, connection)
+            self.release(call, connection)
         self.on_result(call, result)
 
     # --- idle connections ---
 
-    def release(self, receiver: Receiver, connection: Connection) -> None:
+    def release(self, call: Call, connection: Connection) -> None:
         """Keeps a connection for another call, or closes it, once its call has ended."""
-        reason = connection.end_exchange()
-        if reason is None and receiver.entry.condition is not i.Condition.READY:
+        receiver, reason = call.receiver, connection.end_exchange()
+        current = receiver.entry.condition is i.Condition.READY and call.process == receiver.process
+        if reason is None and not current:
             reason = CloseReason.RELEASED
         if reason is None:
             self.idle.add(receiver, connection)
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -113,7 +113,7 @@
 
     def may_begin(self, entry: Entry, endpoint: i.EndpointEntry) -> bool:
         """Whether an attempt may begin. If the rules forbid it, logs that and reports the outcome MOOT."""
-        repeat = may_repeat(entry, self.core.now, endpoint.zone)
+        repeat = may_repeat(entry, self.core.now, endpoint.zone) and entry.destination == endpoint.destination
         if RULES.may_begin(entry.number in self.by_message, bool(entry.end), repeat):
             return True
         log.error(
@@ -148,8 +148,8 @@
     def may_proceed(self, call: Call) -> bool:
         """Removes the messages that may not be written from the call; returns whether any is left.
 
-        Drains, retry-after deadlines, final statuses and repeat windows may have changed since the call was
-        started, while it connected or its records were synced.
+        Endpoints, drains, retry-after deadlines, final statuses and repeat windows may have changed since the
+        call was started, while it connected or its records were synced.
         """
         endpoint, now = call.receiver.entry, self.core.now
         # Half of the grace period has passed since the drain. drain_grace is in ms, loop times in s.
@@ -157,11 +157,15 @@
             self.core.loop.time() - call.receiver.drain_notified_at > self.core.settings.drain_grace / 2000
         )
         waiting = not self.retry_after.has_passed(endpoint)
-        if waiting or drained:
-            self.record_held_back(call, "retry_after" if waiting else "draining")
+        replaced = self.receivers.is_replaced(call)
+        if waiting or drained or replaced:
+            reason = "replaced" if replaced else "retry_after" if waiting else "draining"
+            self.record_held_back(call, reason)
             return False
         for entry in list(call.entries):
-            if not RULES.may_write(waiting, drained, bool(entry.end), may_repeat(entry, now, endpoint.zone)):
+            served = entry.destination == endpoint.destination  # an update may have reassigned the endpoint
+            repeat = may_repeat(entry, now, endpoint.zone)
+            if not served or not RULES.may_write(waiting, drained, bool(entry.end), repeat):
                 self.remove_from_call(call, entry)
         return bool(call.entries)
 
