Read all endpoints again from a discovery that counts its versions anew

Cause: a watch names the last version; a new process at that address has lower versions, holds the watch for 20 s, and its answer passed for 'nothing changed' since the old one's version. Change: after a lost connection the watch asks for the version at once (wait=0); a lower version makes the sender read all endpoints. Measured: the two tests of discovery in test_replaced_process.py failed before and pass; test_discovery and test_node pass.

--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -97,6 +97,7 @@
         self.version = parse_version(cached or {})
         self.complete = asyncio.Event()  # set once a response has been applied
         self.task: asyncio.Task | None = None
+        self.watch_lost = False  # the last watch's connection ended: its next one may be to another process
 
     def start(self, listener: UpdateListener) -> None:
         """Starts to read endpoints, and reports each update to `listener`."""
@@ -143,6 +144,7 @@
                 )
             except (*EXCHANGE_ERRORS, TimeoutError, *INVALID_RESPONSE) as error:
                 failure, pause = error, RETRY_PAUSE
+                self.watch_lost = isinstance(error, OSError | EOFError)
                 if isinstance(error, INVALID_RESPONSE):
                     self.version = None  # the response may have contained changes: read all endpoints
             if not failing:
@@ -152,15 +154,16 @@
             failing = True
             await asyncio.sleep(pause)
 
-    async def request_update(self) -> None:
-        """Sends one request and reports its endpoints.
+    async def request_update(self, whole: bool = False) -> None:
+        """Sends one request and reports its endpoints; `whole`: asks for all of them in any case.
 
         Raises Overloaded, TimeoutError, or one of EXCHANGE_ERRORS or INVALID_RESPONSE.
         """
         target, timeout = "/v1/servers", RESPONSE_TIMEOUT
-        if self.version is not None:
-            target = f"{target}?index={self.version}&wait={int(WATCH_TIMEOUT * 1000)}"
-            timeout = WATCH_TIMEOUT + WATCH_MARGIN
+        if self.version is not None and not whole:
+            wait = 0.0 if self.watch_lost else WATCH_TIMEOUT
+            target = f"{target}?index={self.version}&wait={int(wait * 1000)}"
+            timeout = wait + WATCH_MARGIN
         # Only the wait for the first byte may last as long as a watch. Otherwise a connection that is never
         # established, or a response that stops half-way, would be waited for as long.
         response = await self.client.request("GET", target, b"", timeout, RESPONSE_TIMEOUT)
@@ -172,6 +175,10 @@
         endpoints, version = parse_endpoints(raw), int(raw["seq"])
         if version < 0:
             raise ValueError(f"seq out of range: {version}")
+        self.watch_lost = False
+        if self.version is not None and version < self.version and not raw.get("whole"):
+            log.warning("discovery counts its versions anew: %d after %d", version, self.version)
+            return await self.request_update(whole=True)
         self.listener(ListKind.FULL if raw.get("whole") else ListKind.DELTA, endpoints)
         self.version = version
         self.complete.set()
