Bound what an AMQP client holds and the time that it gets, and drop what it left behind

Cause: each read of up to 256 KiB was processed at once, whatever it cost; the decoder's time grows with the square of a table's fields (0.1 s for 17,000 fields, more for smaller ones); decoded headers and capabilities were kept without a limit; publishes of a client that had left were processed. Change: reads of 64 KiB from the shared pool, processed in turns; content headers with over 512 fields and methods over 8 KiB are refused before they are decoded, for both roles; headers count as partial content; only known capabilities are kept; the state of the TCP connection is read before each turn. The control socket yields between two requests. New connections are accepted 16 at a time.

--- a/rainpier/amqp/channel.py
+++ b/rainpier/amqp/channel.py
@@ -44,6 +44,12 @@
     properties: Properties | None = None  # set once the content header has arrived
     body_size: int = 0  # bytes announced by the content header
     body: bytearray = field(default_factory=bytearray)  # received so far
+    header_size: int = 0  # bytes of the content header frame
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the incomplete content that were received."""
+        return self.header_size + len(self.body)
 
     @property
     def mid_content(self) -> bool:
@@ -53,7 +59,7 @@
     def discard_content(self) -> None:
         """Discards incomplete content."""
         self.method = self.properties = None
-        self.body_size, self.body = 0, bytearray()
+        self.body_size, self.header_size, self.body = 0, 0, bytearray()
 
     def begin_content(self, method: base.Frame) -> None:
         """Starts to receive the content of a method; discards one that is incomplete."""
@@ -74,6 +80,7 @@
             )
         assert isinstance(header.properties, Properties)
         self.properties, self.body_size = header.properties, header.body_size or 0
+        self.header_size = len(payload)
         return self.take_complete()
 
     def on_body(self, payload: bytes) -> Content | None:
--- a/rainpier/amqp/connection.py
+++ b/rainpier/amqp/connection.py
@@ -51,6 +51,14 @@
                 "consumer_cancel_notify")  # fmt: skip
 
 
+def known_capabilities(properties: dict[str, Any] | None) -> dict[str, Any]:
+    """Returns the capabilities in a peer's properties that are of use here: a peer may give very many."""
+    capabilities = (properties or {}).get("capabilities")
+    if not isinstance(capabilities, dict):
+        return {}
+    return {name: capabilities[name] for name in CAPABILITIES if name in capabilities}
+
+
 class Phase(Enum):
     """The phase of a connection."""
 
@@ -132,7 +140,7 @@
         self.frame_max, self.channel_max, self.heartbeat = frames.MIN_FRAME_MAX, limits.channels, 0
         self.input, self.output = bytearray(), bytearray()
         self.channels: dict[int, Channel] = {}
-        self.partial_bytes = 0  # bytes of incomplete content over all channels
+        self.partial_bytes = 0  # bytes of incomplete content, with its headers, over all channels
         self.last_received = self.last_sent = now  # s, of the last byte
         self.peer_capabilities: dict[str, Any] = {}
 
@@ -145,29 +153,42 @@
         return events
 
     def feed(self, data: bytes, now: float, handle: Callable[[Event], None]) -> None:
-        """Processes received bytes; calls `handle` for each event before the next frame is parsed.
+        """Processes received bytes at once; calls `handle` for each event, see `process`."""
+        self.append(data, now)
+        self.process(handle, lambda: True)
+
+    def append(self, data: bytes | memoryview, now: float) -> None:
+        """Adds received bytes to the input, for `process`."""
+        self.last_received = now
+        if self.phase is not Phase.CLOSED:
+            self.input += data
+
+    def process(self, handle: Callable[[Event], None], may_continue: Callable[[], bool]) -> bool:
+        """Processes the frames in the input; calls `handle` for each event before the next frame is parsed.
 
         Otherwise handlers would see a state later than that of their event: with two channels closed in one
         read, the handler of the first close could open a channel with the number of the second, whose close
-        it has not handled yet.
+        it has not handled yet. Stops after a frame if `may_continue` returns False; returns whether it did.
         """
-        self.last_received = now
         if self.phase is Phase.CLOSED:
-            return
-        self.input += data
+            return False
+        stopped = False
         try:
             if self.phase is Phase.HEADER and not self.read_protocol_header(handle):
-                return
+                return False
             for kind, channel, payload in frames.split(self.input, self.max_frame_size()):
                 for event in self.on_frame(kind, channel, payload):
                     handle(event)
-                if self.phase is Phase.CLOSED:
+                stopped = not may_continue()
+                if stopped or self.phase is Phase.CLOSED:
                     break
         except ConnectionException as error:
+            stopped = False
             for event in self.close_for_error(error):
                 handle(event)
         if self.phase is Phase.CLOSED:
             self.input.clear()
+        return stopped and bool(self.input)
 
     def max_frame_size(self) -> int:
         """Returns the largest accepted frame in bytes.
@@ -354,16 +375,13 @@
         A body above Limits.body closes its channel; incomplete content above Limits.partial raises
         ConnectionException.
         """
-        before = len(channel.body)
-        if kind == frames.HEADER:
-            method = channel.method
-            content = channel.on_header(payload)
-            if channel.body_size > self.limits.body and method is not None:
-                text = f"a body of {channel.body_size} bytes, at most {self.limits.body} are taken"
-                self.close_channel(channel.id, codes.CONTENT_TOO_LARGE, text, frames.method_id(method))
-            return content
-        content = channel.on_body(payload)
-        self.partial_bytes += len(channel.body) - before
+        before = channel.held_bytes
+        content = channel.on_header(payload) if kind == frames.HEADER else channel.on_body(payload)
+        self.partial_bytes += channel.held_bytes - before
+        method = channel.method
+        if kind == frames.HEADER and channel.body_size > self.limits.body and method is not None:
+            text = f"a body of {channel.body_size} bytes, at most {self.limits.body} are taken"
+            self.close_channel(channel.id, codes.CONTENT_TOO_LARGE, text, frames.method_id(method))
         if self.partial_bytes > self.limits.partial:
             raise ConnectionException(codes.RESOURCE_ERROR, "too much content that is not whole")
         return content
@@ -372,7 +390,7 @@
         """Forgets a closed channel and its incomplete content."""
         channel = self.channels.pop(number, None)
         if channel is not None:
-            self.partial_bytes -= len(channel.body)
+            self.partial_bytes -= channel.held_bytes
 
     # --- output ---
 
@@ -406,7 +424,7 @@
         if existing is None or existing.phase is ChannelPhase.CLOSING or self.phase is not Phase.RUNNING:
             return
         self.write(channel, ChannelMethods.Close(code, codes.reply_text(code, text), *method))
-        self.partial_bytes -= len(existing.body)
+        self.partial_bytes -= existing.held_bytes
         existing.discard_content()
         existing.phase = ChannelPhase.CLOSING
 
@@ -490,8 +508,7 @@
         """Handles start-ok: checks the login and offers this side's limits."""
         if not self.login(str(method.mechanism), str(method.response)):
             raise ConnectionException(codes.ACCESS_REFUSED, "login refused", frames.method_id(method))
-        capabilities = (method.client_properties or {}).get("capabilities")
-        self.peer_capabilities = capabilities if isinstance(capabilities, dict) else {}
+        self.peer_capabilities = known_capabilities(method.client_properties)
         self.write(0, ConnectionMethods.Tune(self.limits.channels, self.limits.frame, self.limits.heartbeat))
         self.phase = Phase.TUNE
 
@@ -547,8 +564,7 @@
         """Handles start: logs in with PLAIN; raises ConnectionException if the server does not support it."""
         if "PLAIN" not in str(method.mechanisms).split():
             raise ConnectionException(codes.NOT_IMPLEMENTED, "the server does not take PLAIN")
-        capabilities = (method.server_properties or {}).get("capabilities")
-        self.peer_capabilities = capabilities if isinstance(capabilities, dict) else {}
+        self.peer_capabilities = known_capabilities(method.server_properties)
         properties = {"product": "rainpier", "capabilities": dict.fromkeys(CAPABILITIES, True)}
         response = f"\0{self.login.user}\0{self.login.password}"
         self.write(0, ConnectionMethods.StartOk(properties, "PLAIN", response, "en_US"))
--- a/rainpier/amqp/frames.py
+++ b/rainpier/amqp/frames.py
@@ -10,7 +10,7 @@
 from pamqp import base, commands, header
 from pamqp import frame as pamqp_frame
 
-from . import codes
+from . import codes, fields
 from .codes import ConnectionException
 
 METHOD, HEADER, BODY, HEARTBEAT = 1, 2, 3, 8
@@ -20,6 +20,8 @@
 PROTOCOL_HEADER = b"AMQP\x00\x00\x09\x01"
 HEARTBEAT_FRAME = FRAME_HEADER.pack(HEARTBEAT, 0, 0) + bytes((FRAME_END,))
 
+MAX_METHOD_SIZE = 8192  # bytes; see fields.py for the cost of a table in it
+
 # What pamqp raises for invalid input.
 DECODE_ERRORS = (ValueError, IndexError, KeyError, TypeError, struct.error, RecursionError, OverflowError)
 
@@ -58,6 +60,10 @@
     """Decodes a method frame's payload; raises ConnectionException for an unknown or invalid method."""
     if len(payload) < 4:
         raise ConnectionException(codes.SYNTAX_ERROR, "a method without its number")
+    if len(payload) > MAX_METHOD_SIZE:
+        raise ConnectionException(
+            codes.RESOURCE_ERROR, f"a method of {len(payload)} bytes, {MAX_METHOD_SIZE} at most"
+        )
     (index,) = struct.unpack_from(">I", payload)
     method_class = commands.INDEX_MAPPING.get(index)
     if method_class is None:
@@ -74,6 +80,8 @@
 
 def read_header(payload: bytes) -> header.ContentHeader:
     """Decodes a content header frame's payload; raises ConnectionException if that fails."""
+    if len(payload) > fields.MAX_FIELDS and fields.has_too_many(payload):
+        raise ConnectionException(codes.RESOURCE_ERROR, f"headers have {fields.MAX_FIELDS} fields at most")
     content_header = header.ContentHeader()
     try:
         content_header.unmarshal(payload)
--- a/rainpier/control/server.py
+++ b/rainpier/control/server.py
@@ -53,6 +53,7 @@
                     while line := await reader.readline():
                         writer.write(json.dumps(self.answer(line)).encode() + b"\n")
                         await writer.drain()
+                        await asyncio.sleep(0)  # others run between two requests of one connection
         except (OSError, ValueError, TimeoutError):
             pass  # the client went away, or sent too long a line, or took too long
         finally:
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -9,12 +9,17 @@
 from ...amqp import connection as amqp_connection
 from ...config.types import write_address
 from ...observe.events import register_gauge
-from ...sockets import end_writing, listening_socket
-from ..resp.server import LISTEN_BACKLOG
+from ...pressure.memory import DEFAULT_POOL_SIZE, MemoryPool, Share
+from ...pressure.turns import TURN_S, Turns
+from ...sockets import PeerState, end_writing, listening_socket, peer_state
+from ..resp.connection import MIN_READ
+from ..resp.server import LISTEN_BACKLOG, READ_BUFFER_BYTES
 from .options import Options
 from .session import Session, SessionContext
 
 log = logging.getLogger(__name__)
+ACCEPTS_PER_TURN = 16  # new connections accepted in one iteration of the event loop
+WRITE_BUFFER_BYTES = 16384  # unsent, from which on nothing more is processed for a client
 HANDSHAKE_TIMEOUT_S = 5.0  # from the connect to the end of the handshake
 LINGER_S = (
     1.0  # until a connection is aborted: for close-ok to arrive, and again for the last bytes to be sent
@@ -23,7 +28,7 @@
 IDLE_QUEUE_CHECK_INTERVAL_S = 5.0  # between checks for idle reply queues
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One client connection: socket I/O and timers around its state machine and session."""
 
     def __init__(self, listener: "AmqpListener") -> None:
@@ -34,34 +39,91 @@
             listener.options.limits, now, listener.authenticate, listener.is_vhost_allowed
         )
         self.session = Session(self.protocol, listener.context, self.schedule_flush)
+        self.share = Share(listener.pool)
         # Loop time, s, 0.0 until it happens: of the connect, of the end of the AMQP connection, and of the
         # check that first saw this side's close without a close-ok.
         self.connected_at, self.closing_since, self.close_sent_at = now, 0.0, 0.0
         self.flush_scheduled, self.reading = False, True
+        # There may be complete frames in the input; a turn to process them is scheduled.
+        self.has_more = self.turn_scheduled = False
+        self.partial_since: float | None = None  # loop time, s, of the first byte of what is incomplete
+        # The client has closed its sending side; and everything that it sent is read.
+        self.peer_finished = self.peer_eof = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         # TCP keepalive detects clients that vanish although they agreed on no heartbeats.
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
 
-    def data_received(self, data: bytes) -> None:
-        """Processes received bytes and writes the resulting output."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which all connections share: as much as there is room for."""
+        if self.closing_since:
+            return self.listener.read_buffer
+        return self.listener.read_buffer[: max(MIN_READ, self.share.room)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes received bytes in a turn, and writes the resulting output."""
         if self.closing_since:
             # Read and dropped: unread data would cause a reset, and the client might not receive the close.
             return
-        self.protocol.feed(data, self.loop.time(), self.session.handle)
+        self.protocol.append(self.listener.read_buffer[:nbytes], self.loop.time())
+        if not self.turn_scheduled and self.listener.turns.start(self):
+            self.turn_scheduled = True
+            self.update_share()
+            self.update_reading()
+
+    def run_turn(self) -> bool:
+        """Processes some of the frames in the input; returns whether there are more."""
+        self.turn_scheduled = False
+        if self.closing_since or self.has_left():
+            return False
+        end = self.loop.time() + TURN_S
+        self.has_more = self.protocol.process(
+            self.session.handle, lambda: self.loop.time() < end and not self.backlogged
+        )
+        self.turn_scheduled = self.has_more and not self.backlogged
         self.flush()
+        if self.peer_eof and not self.has_more and self.transport is not None:
+            self.transport.close()
+        return self.turn_scheduled
+
+    @property
+    def backlogged(self) -> bool:
+        """Whether publishes need their results, or replies have to be sent, before more is processed.
+
+        Once the client has closed its sending side, each publish does: it may be gone altogether, which only
+        the write of a confirm brings to light, and what was not confirmed must not be accepted then.
+        """
+        most = 1 if self.peer_finished else self.listener.options.unanswered
+        return self.session.write_paused or self.session.unanswered >= most
+
+    def has_left(self) -> bool:
+        """Checks whether the client is gone; if so, drops what it sent and closes.
+
+        Publishes that were not processed by then must not be accepted: their client had no confirm, and may
+        publish them again.
+        """
+        if self.transport is None:
+            return False
+        state = peer_state(self.transport.get_extra_info("socket"))
+        self.peer_finished = self.peer_finished or state is PeerState.FINISHED
+        if state is PeerState.GONE:
+            self.transport.abort()
+        return state is PeerState.GONE
 
     def eof_received(self) -> bool:
-        """Lets asyncio close the transport at the end of the stream."""
-        return False
+        """Lets asyncio close the transport, unless there is input to process."""
+        self.peer_finished = self.peer_eof = True
+        return self.has_more
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the connection; the results of its publishes in flight reach no client."""
         for event in self.protocol.connection_lost():
             self.session.handle(event)
         self.session.release()
+        self.share.release(self)
         self.listener.remove(self)
 
     def pause_writing(self) -> None:
@@ -74,6 +136,41 @@
         self.session.resume_deliveries()
         self.flush()
 
+    # --- memory ---
+
+    def update_share(self) -> None:
+        """Accounts for the memory that the connection holds, and notes since when a part is incomplete."""
+        if self.closing_since or self.transport is None:
+            return
+        protocol = self.protocol
+        incomplete = len(protocol.input) + protocol.partial_bytes
+        unsent = len(protocol.output) + self.transport.get_write_buffer_size()
+        self.share.resize(incomplete + unsent, self)
+        if not incomplete:
+            self.partial_since = None
+        elif self.partial_since is None:
+            self.partial_since = self.loop.time()
+
+    def try_resume(self) -> bool:
+        """Goes on reading if there is room; see Holder."""
+        if not self.share.room and not self.closing_since:
+            return False
+        self.update_reading()
+        return True
+
+    def incomplete_since(self) -> float | None:
+        """Returns since when a frame or a content is incomplete, loop time in s; None if none is."""
+        return None if self.turn_scheduled or self.closing_since else self.partial_since
+
+    def shed(self) -> None:
+        """Closes the AMQP connection, and releases its incomplete content."""
+        self.protocol.close(
+            amqp_connection.codes.RESOURCE_ERROR, "content is incomplete, and memory is short"
+        )
+        self.protocol.input.clear()
+        self.session.release()
+        self.flush()
+
     # --- output ---
 
     def schedule_flush(self) -> None:
@@ -112,9 +209,14 @@
         """
         if self.transport is None or self.transport.is_closing():
             return
-        pause = not self.closing_since and (
-            self.session.write_paused or self.session.unanswered >= self.listener.options.unanswered
-        )
+        self.update_share()
+        pause = not self.closing_since and (self.backlogged or self.turn_scheduled)
+        if not pause and not self.closing_since and self.has_more:
+            self.turn_scheduled = pause = True
+            self.listener.turns.resume(self)
+        if not pause and not self.closing_since and not self.share.room:
+            pause = True
+            self.listener.pool.wait(self)
         if pause and self.reading:
             self.transport.pause_reading()
         elif not pause and not self.reading:
@@ -164,19 +266,34 @@
             self.flush()
 
     def close_if_answered(self) -> None:
-        """Sends the close for shutdown once no publish is in flight."""
-        if self.session.unanswered == 0 and not self.closing_since:
+        """Sends the close for shutdown once no publish is in flight or to be processed."""
+        if self.session.unanswered == 0 and not self.has_more and not self.closing_since:
             self.protocol.close(amqp_connection.codes.CONNECTION_FORCED, "the sidecar stops")
             self.session.release()
             self.flush()
 
 
 class AmqpListener:
-    """Accepts client connections up to a limit. `full()`: whether admission accepts no message now."""
-
-    def __init__(self, context: SessionContext, options: Options, full: Callable[[], bool]) -> None:
+    """Accepts client connections up to a limit.
+
+    `full()`: whether admission accepts no message now; `pool`, `turns`: shared with other listeners, None: of
+    its own.
+    """
+
+    def __init__(
+        self,
+        context: SessionContext,
+        options: Options,
+        full: Callable[[], bool],
+        pool: MemoryPool | None = None,
+        turns: Turns | None = None,
+    ) -> None:
         self.context, self.options, self.admission_full = context, options, full
         self.loop = asyncio.get_running_loop()
+        self.pool = pool or MemoryPool(DEFAULT_POOL_SIZE, self.loop.time, self.loop.call_later)
+        self.turns = turns or Turns(self.loop.time, self.loop.call_soon)
+        # Shared by all connections: each read is copied out before the next one starts.
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -186,9 +303,11 @@
     async def listen(self) -> None:
         """Starts to listen and to check timeouts."""
         listening = listening_socket(self.options.listen, LISTEN_BACKLOG)
+        # asyncio accepts as many connections in a row as its `backlog`, before it closes any above the limit.
         self.server = await self.loop.create_server(
-            self.create_protocol, sock=listening, backlog=LISTEN_BACKLOG
+            self.create_protocol, sock=listening, backlog=ACCEPTS_PER_TURN
         )
+        listening.listen(LISTEN_BACKLOG)
         self.check_timeouts()
 
     @property
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ...observe.events import record, register_gauge
-from ...pressure.memory import MemoryPool
+from ...pressure.memory import DEFAULT_POOL_SIZE, MemoryPool
 from ...pressure.turns import Turns
 from ...sockets import accept_queue_length, listening_socket
 from ...submission import PendingResult, Submission
@@ -17,7 +17,6 @@
 from .session import Session
 
 log = logging.getLogger(__name__)
-DEFAULT_POOL_SIZE = 64 << 20  # bytes; of a listener without a shared pool
 READ_BUFFER_BYTES = 65536  # largest number of bytes of one read
 SEND_BUFFER_BYTES = 65536  # of the kernel for one client: one that does not read is found out soon
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted: all clients may connect at once
--- a/rainpier/sidecar.py
+++ b/rainpier/sidecar.py
@@ -21,6 +21,7 @@
 from .membership.file import FileSource, discovered_endpoints
 from .node.node import Node
 from .observe.events import counts, gauges
+from .pressure.memory import MemoryPool
 from .pressure.turns import Turns
 from .sinks.file import FileSink
 from .sinks.http import HttpSink
@@ -110,7 +111,7 @@
             node.submit, config.client_descriptors, self.model.resp.password, pool, turns
         )
         await retry_until_available("listen", lambda: self.resp_listener.listen(config.listen), self.stop)
-        await self.listen_amqp(node, config)
+        await self.listen_amqp(node, config, pool, turns)
         control = Control(config.state / CONTROL_SOCKET_NAME, {"status": self.status})
         await control.listen()
         reload_task = loop.create_task(supervise(self.reloader.run))
@@ -134,11 +135,11 @@
         """Opens the node. A coroutine, since retry_until_available awaits its steps."""
         return open_node(config, self.source, sink)
 
-    async def listen_amqp(self, node: Node, config: Config) -> None:
+    async def listen_amqp(self, node: Node, config: Config, pool: MemoryPool, turns: Turns) -> None:
         """Starts the AMQP listener, if the file configures one."""
         if config.amqp is not None:
             self.amqp_listener = AmqpListener(
-                session_context(node, config), config.amqp, lambda: node.admission.full
+                session_context(node, config), config.amqp, lambda: node.admission.full, pool, turns
             )
             await self.amqp_listener.listen()
 
