--- a/rainpier/carriers/http/exchange.py
+++ b/rainpier/carriers/http/exchange.py
@@ -8,6 +8,10 @@
 # Bytes of a response received in a row without a byte of its body: headers, those of 1xx responses included,
 # and behind the headers chunk sizes, chunk extensions and trailers.
 MAX_OVERHEAD_BYTES = 16384
+# The headers that are kept, those that are used: very many short ones would take many times their bytes.
+USED_HEADERS = frozenset((
+    b"content-length", b"transfer-encoding", b"x-retry-in-ms", b"x-load-report", b"x-no-slot", b"x-call-id",
+))  # fmt: skip
 PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
@@ -23,7 +27,7 @@
     """A complete response to one request."""
 
     status: int
-    headers: dict[str, str]  # names in lower case
+    headers: dict[str, str]  # those in USED_HEADERS, names in lower case
     body: bytes
     matched: bool = True  # false on a connection still in quarantine: may duplicate an earlier response
 
@@ -70,8 +74,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers are discarded: none is defined for these responses (RFC 9110, 6.5.1).
-        if not self.in_body and not self.response.done():
-            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        name = name.lower()
+        if name in USED_HEADERS and not self.in_body and not self.response.done():
+            self.headers[name.decode()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         if self.response.done() or self.status < 200:
--- a/tests/test_endless_response.py
+++ b/tests/test_endless_response.py
@@ -190,3 +190,21 @@
             assert len(exchanges) == 1
 
     run_with_timeout(scenario())
+
+
+# Incident 40fa21: each call in flight kept a head of very many short fields, 13 times its bytes.
+def test_a_head_of_very_many_short_fields_is_not_kept():
+    async def scenario():
+        head = STATUS_LINE + b"".join(b"%x:\r\n" % n for n in range(2000))
+        assert len(head) < MAX_OVERHEAD_BYTES
+        exchange = Exchange(MAX_BODY, 0.5)
+        tracemalloc.start()
+        exchange.feed(head)
+        kept, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert not exchange.response.done() and kept < len(head)
+        exchange.feed(b"Content-Length: 2\r\nX-RETRY-IN-MS: 70\r\n\r\nok")
+        response = await exchange.response
+        assert (response.body, response.headers["x-retry-in-ms"]) == (b"ok", "70")
+
+    run_with_timeout(scenario())
