Decode no list of endpoints with more values than memory allows

Change: commas and brackets are counted before; a quarter of the memory in the settings, at 100 bytes a value, is the limit.

--- a/rainpier/__main__.py
+++ b/rainpier/__main__.py
@@ -55,7 +55,7 @@
     loop = asyncio.get_running_loop()
     config = await retry_until_available("configuration", lambda: in_loop(lambda: load(os.environ)), stop)
     record("process", "starting", pid=os.getpid(), name=config.name)
-    discovery = Discovery(config.discovery, config.known, config.settings.senders)
+    discovery = Discovery(config.discovery, config.known, config.settings.senders, config.memory)
     sink = HttpSink(config.discovery)
     node = await retry_until_available(
         "store", lambda: in_loop(lambda: open_node(config, discovery, sink)), stop
--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -25,11 +25,26 @@
 MAX_SPREAD = 8.0  # s; within it discovery can answer every sender of any fleet (upper bound of all_call_s)
 MAX_OVERLOAD_PAUSE = 5.0  # s between requests while discovery is overloaded, or the spread if that is longer
 MAX_BODY = 4 << 20  # bytes of a response body
+DEFAULT_MEMORY = 192_000_000  # bytes
+VALUE_MEMORY = 100  # bytes that a decoded JSON value takes, at least
+DECODED_SHARE = 0.25  # of the process's memory, for one decoded response
 MAX_NAME = 256  # characters of a name, address, zone or kind
 # Raised by the parsing of an invalid response.
 INVALID_RESPONSE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 
 
+def decode(body: bytes, max_values: int) -> dict:
+    """Decodes a response with at most `max_values` values; raises ValueError.
+
+    Each value is followed by a comma or stands in a list or object of its own, so that their number is known
+    before any memory is taken for them.
+    """
+    values = sum(map(body.count, (b",", b"[", b"{")))
+    if values > max_values:
+        raise ValueError(f"response has about {values} values, {max_values} at most")
+    return json.loads(body)
+
+
 def parse_number(row: dict, name: str, default: float) -> float:
     """Reads a finite number >= 0. Raises ValueError: the JSON parser also accepts NaN and Infinity."""
     value = float(row.get(name, default))
@@ -85,11 +100,18 @@
 class Discovery:
     """A source of endpoints: reads all of them, then watches for changes until it is closed."""
 
-    def __init__(self, address: tuple[str, int], cached: dict | None = None, senders: int = 1) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        cached: dict | None = None,
+        senders: int = 1,
+        memory: int = DEFAULT_MEMORY,
+    ) -> None:
         """`cached`: the response that an earlier process stored; only the changes since then are asked for.
 
-        `senders`: size of the fleet, over which retries are spread.
+        `senders`: size of the fleet, over which retries are spread; `memory`: limit of the process, bytes.
         """
+        self.max_values = int(DECODED_SHARE * memory / VALUE_MEMORY)
         self.address, self.client = address, Client(address, MAX_BODY)
         self.spread = min(SPREAD_PER_SENDER * max(0, senders - UNSPREAD_SENDERS), MAX_SPREAD)
         self.listener: UpdateListener = lambda kind, endpoints: None
@@ -171,7 +193,7 @@
             raise Overloaded(f"answered {response.status}")
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
-        raw = json.loads(response.body)
+        raw = decode(response.body, self.max_values)
         endpoints, version = parse_endpoints(raw), int(raw["seq"])
         if version < 0:
             raise ValueError(f"seq out of range: {version}")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import random
+import tracemalloc
 
 import pytest
 from peers import endpoint_entry
 
 from rainpier.carriers.http.exchange import Response
 from rainpier.membership import platform
+from rainpier.membership.platform import MAX_BODY, Discovery, decode
 
 EMPTY_UPDATE = json.dumps({"seq": 7, "whole": False, "hosts": []}).encode()
 
@@ -100,3 +102,25 @@
 )
 def test_cached_endpoints_without_a_valid_version_are_read_again(cached):
     assert platform.parse_version(cached) is None
+
+
+# Incident 40fa21: a list of very many short values took 20 times its bytes when it was decoded.
+@pytest.mark.parametrize("value", [b"{},", b"[],", b"0,"])
+def test_a_response_with_more_values_than_memory_allows_is_not_decoded(value):
+    memory = 32_000_000
+    discovery = Discovery(("127.0.0.1", 1), memory=memory)
+    body = b'{"seq":1,"hosts":[' + value * (MAX_BODY // len(value) - 10) + b"0]}"
+    tracemalloc.start()
+    with pytest.raises(ValueError, match="values"):
+        decode(body, discovery.max_values)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak < memory / 100
+
+
+def test_the_largest_fleet_is_decoded_within_the_least_memory():
+    """3,200 receivers, sixteen times the usual number (STANDING)."""
+    discovery = Discovery(("127.0.0.1", 1), memory=32_000_000)
+    hosts = [endpoint_entry(f"s-{n:08x}", f"10.1.{n % 250}.{n % 200}:6379") for n in range(3200)]
+    raw = {"seq": 1, "whole": True, "hosts": hosts}
+    assert decode(json.dumps(raw).encode(), discovery.max_values) == raw
