Play crowds in the fault runs: least memory, kills in series, clients that misbehave

Change: the fault kind 'crowd' draws a crowd, 32 MB, 1,024 descriptors and restarts; a run finds memory beyond the limit and replies that are late although the sender was ready. The disk limit is left out of what the platform's sender divides. Plans of other kinds are unchanged.

--- a/rainpier/amqp/connection.py
+++ b/rainpier/amqp/connection.py
@@ -152,7 +152,7 @@
         self.feed(data, now, events.append)
         return events
 
-    def feed(self, data: bytes, now: float, handle: Callable[[Event], None]) -> None:
+    def feed(self, data: bytes | memoryview, now: float, handle: Callable[[Event], None]) -> None:
         """Processes received bytes at once; calls `handle` for each event, see `process`."""
         self.append(data, now)
         self.process(handle, lambda: True)
--- a/rainpier/carriers/amqp/link.py
+++ b/rainpier/carriers/amqp/link.py
@@ -17,6 +17,9 @@
 Basic = commands.Basic
 TAG_HEADER = "x-publish"  # carries the delivery tag, so that a basic.return can be matched to its publish
 HEARTBEAT_CHECK_S = 0.25  # largest interval between checks of the heartbeat
+# One for all connections: each read is copied out before the next one. Small, since a read is processed at
+# once: one of 256 KiB may hold 32,000 frames.
+READ_BUFFER = memoryview(bytearray(16384))
 CLOSE_TIMEOUT_S = 1.0  # from connection.close to connection.close-ok
 # Limits on a broker: bytes of a frame, channels of a connection, bytes of the body of a basic.return.
 MAX_FRAME, MAX_CHANNELS, MAX_RETURNED_BODY = 131_072, 1024, 1 << 20
@@ -26,7 +29,7 @@
     """The connection ended before it was open; the text says why."""
 
 
-class BrokerConnection(asyncio.Protocol):
+class BrokerConnection(asyncio.BufferedProtocol):
     """One connection to a broker, from the handshake to its end, when `on_closed` is called once."""
 
     def __init__(self, options: BrokerOptions, on_closed: Callable[["BrokerConnection"], None]) -> None:
@@ -58,9 +61,13 @@
         transport.set_write_buffer_limits(high=0)
         self.flush()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read; see READ_BUFFER."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Handles the events in received bytes and writes what they cause."""
-        self.protocol.feed(data, self.loop.time(), self.handle_event)
+        self.protocol.feed(READ_BUFFER[:nbytes], self.loop.time(), self.handle_event)
         self.flush()
         self.notify_waiters()
 
--- a/rainpier/config/build.py
+++ b/rainpier/config/build.py
@@ -33,6 +33,7 @@
     known: dict = field(default_factory=dict)
     largest_body: int = 65536  # bytes
     memory: int = 192_000_000  # bytes that the process may use
+    files_in_memory: bool = False  # what the state folder holds counts as memory of the process
     machine: bool = False  # accepted messages have to outlast a machine crash too: fsync is required
     destinations: dict[str, int] = field(default_factory=dict)  # numbers by name, for those with a name
     brokers: dict[int, BrokerOptions] = field(default_factory=dict)  # by destination number
@@ -131,6 +132,7 @@
         sockets=model.limits.sockets,
         disk=model.limits.disk,
         memory=model.limits.memory,
+        files_in_memory=platform is not None,
         settings=settings(model),
         zones=model.fleet.zones,
         rated=platform.rated if platform else any(dest.rate for dest in model.destinations.values()),
--- a/rainpier/host.py
+++ b/rainpier/host.py
@@ -50,7 +50,8 @@
     """
     loop = asyncio.get_running_loop()
     connections = config.client_descriptors + (config.amqp.connections if config.amqp else 0)
-    plan = plan_memory(config.memory, memory_use().resident, config.settings.slots, connections)
+    limit = config.memory - config.disk * config.files_in_memory
+    plan = plan_memory(limit, memory_use().resident, config.settings.slots, connections)
     log.info("memory: %d bytes for clients, %d bytes for messages", plan.clients, plan.messages)
     node.admission.max_bytes = plan.messages
     pool = MemoryPool(plan.clients, loop.time, loop.call_later)
--- a/tests/amqp/test_field_limits.py
+++ b/tests/amqp/test_field_limits.py
@@ -1,13 +1,19 @@
 """Tables of very many short fields, which the decoder would take seconds for."""
 
+import asyncio
 import time
 
 import pytest
 from pamqp import commands, header
 
 from rainpier.amqp import codes, fields, frames
+from rainpier.amqp import connection as amqp_connection
 from rainpier.amqp.codes import ConnectionException
+from rainpier.amqp.options import Login
+from rainpier.carriers.amqp.link import BrokerConnection
+from rainpier.carriers.amqp.options import BrokerOptions
 
+MAX_READ_S = 0.05  # for one read
 MAX_DECODE_S = 0.25  # for one frame; others wait meanwhile
 Properties = commands.Basic.Properties
 
@@ -77,3 +83,19 @@
     payload = content_header({"a": {"b": [1, "x", None]}, "c": "d" * 600}, content_type="t")
     for end in range(len(payload)):
         assert fields.has_too_many(payload[:end]) is False
+
+
+# The same from a broker at full speed: one read stopped the event loop for 0.1 s and more.
+def test_one_read_from_a_broker_takes_little_time():
+    async def scenario():
+        connection = BrokerConnection(BrokerOptions(Login(), "", "", "orders"), lambda closed: None)
+        connection.protocol.phase = amqp_connection.Phase.RUNNING
+        buffer = connection.get_buffer(-1)
+        size = len(buffer) // len(frames.HEARTBEAT_FRAME) * len(frames.HEARTBEAT_FRAME)
+        buffer[:size] = frames.HEARTBEAT_FRAME * (size // len(frames.HEARTBEAT_FRAME))
+        begun = time.perf_counter()
+        connection.buffer_updated(size)
+        assert time.perf_counter() - begun < MAX_READ_S
+        assert not connection.protocol.input and not connection.closed
+
+    asyncio.run(scenario())
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -22,6 +22,8 @@
 RECONNECT_PAUSE_S = 0.05
 SLOW_STEP, SLOW_PAUSE_S = 1000, 0.05  # bytes and s between them: slower than a request may take
 DESCRIPTORS = 4096
+CROWD_CLIENTS = 600  # more than the descriptors for clients where a process has 1,024
+FLOOD_CLIENTS = 1
 
 CHANNELS = 64  # that an AMQP client opens
 
--- a/tests/standins/faults/plan.py
+++ b/tests/standins/faults/plan.py
@@ -14,7 +14,13 @@
 # wall clock steps.
 MIXABLE = ("storage", "start", "torn", "sockets", "clock", "signals", "recovery")
 # "answers": peers send unsolicited data after their responses (strays.py).
-KINDS = (*MIXABLE, "mixed", "answers", "answers+mixed")
+# "crowd": hundreds of clients that misbehave, or one at full speed, at senders with the least memory that the pages
+# name, and signals in series (crowd.py).
+KINDS = (*MIXABLE, "mixed", "answers", "answers+mixed", "crowd")
+# Crowds whose clients submit nothing that is accepted.
+CROWDS = ("half", "half-largest", "half-again", "slow", "many-parts", "many-fields", "flood-ping", "flood-command",
+          "flood-unsound", "flood-fields")  # fmt: skip
+CROWD_LIMITS = {"memory_mb": 32, "sockets": 1024}
 TRAFFIC_TIME = 6.0  # s for which clients submit messages
 # Operations of the shim on files and sockets (shim.c), and the errors with which they fail.
 STORE_CALLS = ("open", "list", "read", "write", "truncate", "rename", "unlink", "sync", "lock", "close")
@@ -69,12 +75,13 @@
     capacity: float = CAPACITY  # calls a second of each receiver in the endpoint list
     first_destination_share: float = 0.0  # share of messages sent to the first destination in any case
     strays: StrayPlan = StrayPlan()  # unsolicited data from receivers or discovery servers
+    crowd: str = ""  # kind of the crowd at each sender; "": none
 
     def __str__(self) -> str:
         """Describes the run, with the faults of each sender."""
         rules = [f"n{n}: {rule.line()}" for n, sender_rules in self.rules.items() for rule in sender_rules]
         strays = [str(self.strays)] if self.strays.share else []
-        return "; ".join([f"seed {self.seed} {self.kind}, {self.senders} senders x {self.clients} clients, "
+        return "; ".join([f"seed {self.seed} {self.kind} {self.crowd}, {self.senders} senders x {self.clients} clients, "
                           f"idle connections {self.idle_connections}", *map(str, self.restarts), *rules, *strays])  # fmt: skip
 
 
@@ -98,6 +105,9 @@
         if "recovery" not in kinds:  # a returning destination accepts only the listed capacity
             plan.capacity = rng.choice([CAPACITY, 10 * CAPACITY, 10 * CAPACITY])
         plan.first_destination_share = rng.choice([0.0, 0.8, 0.8])
+    if kind == "crowd":
+        plan.crowd, plan.senders, plan.idle_connections = rng.choice(CROWDS), rng.randint(1, 2), 0
+        kinds = ["signals"]
     plan.drain_at = rng.uniform(1.0, 5.0) if rng.random() < 0.5 else None
     if "recovery" in kinds:
         since = rng.uniform(0.5, 1.5)
--- a/tests/standins/faults/records.py
+++ b/tests/standins/faults/records.py
@@ -103,6 +103,7 @@
     notifications: list[Notification] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
     outage: Outage | None = None
+    has_crowd: bool = False  # misbehaving clients run beside the others
     max_budget_use: float = 0.0  # highest share of its recovery budget that the returning destination got
     observer_lag: float = 0.0  # longest delay of the observing event loop, s
     invalid_requests: list[str] = field(default_factory=list)  # that receivers could not read as calls
--- a/tests/standins/faults/run.py
+++ b/tests/standins/faults/run.py
@@ -9,8 +9,16 @@
 
 from peers import SETTINGS
 
+from standins import crowd
 from standins.faults.peers import Client, SenderDiscoveryServer, endpoint_entries
-from standins.faults.plan import RESTART_DELAY, SIGTERM_GRACE, TRAFFIC_TIME, Plan, Restart
+from standins.faults.plan import (
+    CROWD_LIMITS,
+    RESTART_DELAY,
+    SIGTERM_GRACE,
+    TRAFFIC_TIME,
+    Plan,
+    Restart,
+)
 from standins.faults.receiver import Receiver
 from standins.faults.records import Outage, Records
 from standins.faults.sender import Sender
@@ -28,6 +36,7 @@
 RECOVERY_RULES = {
     "overload-factor": OVERLOAD_FACTOR, "fall": FALL_TIME * 1000, "cold-from": COLD_FROM, "cold": COLD_TIME * 1000,
 }  # fmt: skip
+MEMORY_CHECK_S = 0.02  # between readings of the senders' memory
 READY_TIME = 12.0  # s for a start, including its injected faults
 DESTINATIONS = (1, 2, 3)
 # A small disk limit makes the store rotate and compact segments constantly, also while calls fail.
@@ -55,6 +64,8 @@
             await self.start_fleet(stack)
             loop = asyncio.get_running_loop()
             lag_task = loop.create_task(self.measure_observer_lag())
+            memory_task = loop.create_task(self.measure_memory())
+            await self.start_crowds(stack)
             until = self.began + TRAFFIC_TIME
             tasks = [loop.create_task(self.run_restart(restart)) for restart in self.plan.restarts]
             tasks += [loop.create_task(client.run(until)) for client in self.make_clients()]
@@ -68,6 +79,7 @@
             for writer in idle_writers:
                 writer.transport.abort()
             lag_task.cancel()
+            memory_task.cancel()
         verdict = Verdict(self.records, self.senders)
         self.findings += verdict.run(loop.time())
         return self.findings
@@ -96,6 +108,7 @@
             destination, since, until = self.plan.outage
             self.records.outage = Outage(destination, self.began + since, self.began + until)
         limits = {"disk_mb": DISK_MB} | ({"sockets": 160} if self.plan.idle_connections else {})
+        limits |= CROWD_LIMITS if self.plan.crowd else {}
         for n, discovery in enumerate(self.discovery_servers):
             sender = Sender(f"n{n}", self.folder / f"n{n}", discovery, self.library, settings,
                             self.plan.rules.get(n, []), self.plan.seed, self.began, limits)  # fmt: skip
@@ -143,6 +156,23 @@
                         writers.append((await asyncio.open_connection("127.0.0.1", sender.port))[1])
         return writers
 
+    async def start_crowds(self, stack: contextlib.AsyncExitStack) -> None:
+        """Starts a crowd at each sender, if the plan has one; they end with `stack`."""
+        self.records.has_crowd = bool(self.plan.crowd)
+        if self.plan.crowd:
+            clients = crowd.FLOOD_CLIENTS if self.plan.crowd.startswith("flood") else crowd.CROWD_CLIENTS
+            for sender in self.senders:
+                await stack.enter_async_context(
+                    crowd.running_crowd("resp", self.plan.crowd, sender.port, clients, TRAFFIC_TIME)
+                )
+
+    async def measure_memory(self) -> None:
+        """Reads the senders' memory at intervals, for their highest use."""
+        while True:
+            for sender in self.senders:
+                sender.read_memory()
+            await asyncio.sleep(MEMORY_CHECK_S)
+
     async def sleep_until(self, at: float) -> None:
         """Sleeps until `at` s into the run."""
         await asyncio.sleep(max(0.0, self.began + at - asyncio.get_running_loop().time()))
@@ -217,9 +247,10 @@
         failed_calls = sum(sender.log.count(b"fault: ") for sender in self.senders)
         budget_use = f", budget used {self.records.max_budget_use:.2f}" if self.records.outage else ""
         incarnations = sum(len(sender.incarnations) for sender in self.senders)
+        peak = max(sender.peak_memory for sender in self.senders) / 1e6
         return (f"{len(messages)} messages, {by_reply['OK']} accepted, {by_reply['BUSY']} busy, {by_reply['ERR']} failed, "
                 f"{by_reply[None]} unanswered, {len(self.records.calls)} calls, {len(self.records.notifications)} notices, "
-                f"{incarnations} processes, {failed_calls} system calls failed, {self.strays.sent} strays, lag {self.records.observer_lag * 1000:.0f} ms{budget_use}")  # fmt: skip
+                f"{incarnations} processes, {failed_calls} system calls failed, {self.strays.sent} strays, lag {self.records.observer_lag * 1000:.0f} ms, memory at most {peak:.1f} MB{budget_use}")  # fmt: skip
 
 
 async def run_plan(plan: Plan, library: Path, logs: Path | None = None) -> tuple[list[str], str]:
--- a/tests/standins/faults/sender.py
+++ b/tests/standins/faults/sender.py
@@ -11,8 +11,10 @@
 from pathlib import Path
 
 from standins.faults.shim import Rule, environment
+from standins.memory import memory_of
 
 ROOT = Path(__file__).resolve().parents[3]
+DEFAULT_LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
 
 
 @dataclass
@@ -61,6 +63,7 @@
     incarnations: list[Incarnation] = field(default_factory=list)
     log: bytes = b""  # standard error of all its processes
     killed_by_plan: bool = False  # the plan kills it in the middle of a write
+    peak_memory: int = 0  # highest resident memory of any of its processes, bytes
 
     def __post_init__(self) -> None:
         self.reserved = reserve_port()  # also held between two processes
@@ -82,7 +85,7 @@
 
     def write_config(self) -> dict[str, str]:
         """Writes the configuration and the shim's plan; returns the environment of the next process."""
-        limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3} | self.limits
+        limits = DEFAULT_LIMITS | self.limits
         raw = {
             "name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
             "seed": f"{self.seed + len(self.incarnations):x}", "limits": limits, "settings": self.settings,
@@ -161,6 +164,16 @@
         if self.log_reader is not None:
             await self.log_reader
 
+    @property
+    def memory_limit(self) -> int:
+        """Bytes that each of its processes may use."""
+        return (DEFAULT_LIMITS | self.limits)["memory_mb"] * 1_000_000
+
+    def read_memory(self) -> None:
+        """Updates `peak_memory` from the process, if it runs."""
+        if self.alive and self.process is not None:
+            self.peak_memory = max(self.peak_memory, memory_of(self.process.pid)[1])
+
     def cpu_time(self) -> float:
         """Returns the CPU time that the process has used, in seconds."""
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
--- a/tests/standins/faults/verdict.py
+++ b/tests/standins/faults/verdict.py
@@ -3,6 +3,7 @@
 from standins.faults.records import CAPACITY, MAY_HAVE_RUN, Message, Records
 from standins.faults.sender import Sender
 
+REPLY_TIME = 0.4  # s for which a client waits for a reply
 NOTIFICATION_TIME = 0.3  # s after a message's deadline by which it has to be completed
 NOTIFICATION_TIME_AFTER_START = 1.5  # s after a sender is ready again within which notifications are on time
 SOCKET_TOLERANCE = 0.05  # s added to each limit, since calls travel over sockets
@@ -48,6 +49,7 @@
     def run(self, ended: float) -> list[str]:
         """Returns the findings. `ended`: loop time of the run's end."""
         self.check_crashes()
+        self.check_memory()
         self.check_foreign_messages()
         for message in self.records.messages.values():
             self.check_completion(message, ended)
@@ -61,6 +63,8 @@
         self.check_retry_after()
         self.check_recovery_budget()
         self.check_responsiveness()
+        if self.records.has_crowd:
+            self.check_timely_replies()
         return self.findings
 
     def add_finding(self, rule: str, text: str, message: Message | None = None) -> None:
@@ -196,6 +200,24 @@
             if b"Traceback" in sender.log:
                 self.add_finding("crash", f"{sender.name} logged a traceback")
 
+    def check_memory(self) -> None:
+        """Finds senders that used more memory than their settings allow."""
+        for sender in self.senders.values():
+            limit = sender.memory_limit
+            if sender.peak_memory > limit:
+                self.add_finding("memory", f"{sender.name} used {sender.peak_memory} of {limit} bytes")
+
+    def check_timely_replies(self) -> None:
+        """Finds messages that got no reply in time from a sender that was ready, beside a crowd."""
+        for message in self.records.messages.values():
+            if message.no_reply_reason != "timeout" or message.reply is not None:
+                continue
+            for incarnation in self.senders[message.sender].incarnations:
+                down = incarnation.unavailable_from
+                ready = incarnation.ready is not None and incarnation.ready < message.sent
+                if ready and (down is None or message.sent + REPLY_TIME + self.slack < down):
+                    self.add_finding("late", f"no reply within {REPLY_TIME} s", message)
+
     def check_foreign_messages(self) -> None:
         """Finds calls that are malformed, or whose message differs from all that were submitted."""
         for text in self.records.invalid_requests:
--- a/tests/standins/limits.py
+++ b/tests/standins/limits.py
@@ -24,13 +24,12 @@
 from standins.faults.sender import Sender
 from standins.faults.shim import build
 from standins.faults.strays import StrayPlan, Strays
+from standins.memory import memory_of
 
 # The least that the pages name: 32 MB for a sender of the platform, limits.memory of 48 MiB for a sidecar.
 PLATFORM_MEMORY_MB, SIDECAR_MEMORY = 32, 48 << 20
 DESCRIPTORS, SLOTS = 1024, 58
-CROWD_CLIENTS = 600  # more than the descriptors for clients
 AMQP_CROWD_CLIENTS = 12  # more than the AMQP connections in SIDECAR_CONFIG
-FLOOD_CLIENTS = 1
 PLAY_S = 5.0  # of the crowd
 REPLY_TIMEOUT_S = 0.4  # for which a client waits for a reply (PROTOCOL)
 REQUEST_INTERVAL_S = 0.1  # of each client that behaves
@@ -107,16 +106,6 @@
         )
 
 
-def memory_of(pid: int) -> tuple[int, int]:
-    """Returns the resident memory of a process now and at its highest, in bytes; zeros once it has ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0, 0
-    found = [re.search(rf"{name}:\s+(\d+) kB", status) for name in ("VmRSS", "VmHWM")]
-    return (int(found[0][1]) << 10, int(found[1][1]) << 10) if all(found) else (0, 0)
-
-
 class HonestClient:
     """Submits a message at each interval and measures the time to its reply.
 
@@ -279,7 +268,7 @@
         if amqp_port:
             clients["amqp"] = HonestPublisher(amqp_port)
         play.replies = {name: client.replies for name, client in clients.items()}
-        size = FLOOD_CLIENTS if play.kind.startswith("flood") else CROWD_CLIENTS
+        size = crowd.FLOOD_CLIENTS if play.kind.startswith("flood") else crowd.CROWD_CLIENTS
         if play.listener == "amqp":
             size = min(size, AMQP_CROWD_CLIENTS)
         tasks = [asyncio.create_task(client.run()) for client in clients.values()]
