Collect the cycles of closed connections early, and leave the program out of the search

Cause: found by a crowd of 30 s: memory crept to 33.5 of 32 MB. Each closed transport of asyncio is a reference cycle; the collector's default thresholds let some 14,000 of them gather, 7 MB. Change: once the node has started, its objects are frozen and the thresholds lowered.

--- a/rainpier/host.py
+++ b/rainpier/host.py
@@ -1,6 +1,7 @@
 """Opening and shutting down a node, for the sidecar and for the platform's sender."""
 
 import asyncio
+import gc
 import logging
 from collections.abc import Sequence
 from typing import Protocol
@@ -20,6 +21,7 @@
 LAST_CALL_START = 2.5  # from here on the node only waits for calls in flight
 SHUTDOWN_DEADLINE = 3.2  # calls still in flight are cut off; SIGKILL follows after 3.7 s at the earliest
 CLOSE_TIMEOUT = 0.4  # s for a listener to answer the requests that its connections still have pending
+COLLECTOR_THRESHOLDS = (700, 5, 2)  # see gc.set_threshold
 POLL_INTERVAL = 0.02  # s between checks whether the calls in flight have ended
 
 
@@ -43,11 +45,22 @@
         raise FolderContended(str(error)) from error
 
 
+def collect_cycles_early() -> None:
+    """Has the garbage collector find reference cycles early, and leave out the objects of the program.
+
+    Each closed transport of asyncio is such a cycle: by default some 14,000 of them, or 7 MB, gather.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def divide_memory(node: Node, config: Config) -> MemoryPool:
     """Limits what held messages may take, and returns the pool of memory for the clients of all listeners.
 
     To be called once the node has started, since what the process uses then is not to be divided.
     """
+    collect_cycles_early()
     loop = asyncio.get_running_loop()
     connections = config.client_descriptors + (config.amqp.connections if config.amqp else 0)
     limit = config.memory - config.disk * config.files_in_memory
