Trust the states of connections only where one was seen as established

Cause: found on reading the change again: below a library that emulates sockets, TCP_INFO of a placeholder may say 'closed', and each client would have been taken for gone. Change: states count once a connection was established; turns go on behind a failure; ids are bounded by the disk alone, as before; a peek uses the flags that were in use. Compiled files are checked by the source's hash, so that a copied folder keeps them.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 test: $(READY)
 	.venv/bin/ruff check .
 	.venv/bin/ruff format --check .
-	.venv/bin/python -m compileall -q rainpier
+	.venv/bin/python -m compileall -q --invalidation-mode checked-hash rainpier
 	.venv/bin/python -m pytest -q
 
 reference: $(READY)
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -54,7 +54,9 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         # TCP keepalive detects clients that vanish although they agreed on no heartbeats.
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        peer_state(sock)  # usually established now, so that later states count
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -85,6 +85,7 @@
         self.transport = transport
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         transport.set_write_buffer_limits(high=0)  # writing counts as paused while anything is unsent
+        peer_state(self.sock)  # usually established now, so that later states count
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read, which all connections share: as much as there is room for."""
--- a/rainpier/node/admission.py
+++ b/rainpier/node/admission.py
@@ -30,7 +30,6 @@
 from .endpoints import EndpointRegistry
 
 MAX_LIFETIME_FACTOR = 2  # largest lifetime of a message, as a multiple of the deadline of its class
-COMPLETED_ID_MEMORY = 320  # bytes of the remembered id of a completed message
 BODY_COPIES = 2  # of a body in memory: while its message is sent
 ADMISSION_RETRY_AFTER = 1000  # ms; retry-after of submissions that are refused without the policy
 
@@ -98,8 +97,7 @@
     def held_bytes(self) -> int:
         """Memory of the held and pending messages."""
         bodies = self.store.live_bytes + self.pending_bytes
-        ids = len(self.store.state.completed_until) * COMPLETED_ID_MEMORY
-        return BODY_COPIES * bodies + self.message_count * MESSAGE_MEMORY + ids
+        return BODY_COPIES * bodies + self.message_count * MESSAGE_MEMORY
 
     def validation_error(self, submission: Submission) -> str:
         """Returns the error text for an invalid submission; "" for a valid one."""
--- a/rainpier/pressure/turns.py
+++ b/rainpier/pressure/turns.py
@@ -63,12 +63,14 @@
         """Gives turns for ITERATION_S: to all fresh clients first, but at least one to a busy one."""
         self.scheduled = False
         end = self.clock() + ITERATION_S
-        if self.busy:
-            self.run_next(self.busy)
-        while (self.fresh or self.busy) and self.clock() < end:
-            self.run_next(self.fresh or self.busy)
-        if self.fresh or self.busy:
-            self.schedule()
+        try:
+            if self.busy:
+                self.run_next(self.busy)
+            while (self.fresh or self.busy) and self.clock() < end:
+                self.run_next(self.fresh or self.busy)
+        finally:  # the others go on also if one client's turn fails
+            if self.fresh or self.busy:
+                self.schedule()
 
     def run_next(self, queue: deque[Runnable]) -> None:
         """Gives the first client of a queue its turn."""
--- a/rainpier/sockets.py
+++ b/rainpier/sockets.py
@@ -17,7 +17,7 @@
 TRANSIENT = frozenset((errno.ENOMEM, errno.ENOBUFS))
 SETSOCKOPT_ATTEMPTS = 3  # then the option stays unset
 TCP_INFO_UNACKED = 24  # offset of tcpi_unacked, of a listening socket the length of its accept queue
-TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8  # states of a TCP connection in TCP_INFO (linux/tcp.h)
+TCP_ESTABLISHED, TCP_CLOSE, TCP_CLOSE_WAIT = 1, 7, 8  # states of a TCP connection in TCP_INFO (linux/tcp.h)
 
 
 class PeerState(Enum):
@@ -114,15 +114,37 @@
     return sock
 
 
+class PeerStates:
+    """Reads what peers have done. Unlike a read, this looks past the data that is still unread.
+
+    The states count only once a connection was seen as established: where something other than the system's
+    TCP carries the connections, as below a library that emulates sockets, TCP_INFO tells nothing of them.
+    """
+
+    def __init__(self) -> None:
+        self.established_seen = False
+
+    def read(self, sock: socket.socket) -> PeerState:
+        """Returns what the peer of a connected socket has done."""
+        try:
+            state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except (OSError, IndexError):
+            return PeerState.CONNECTED
+        if state == TCP_ESTABLISHED:
+            self.established_seen = True
+        if not self.established_seen:
+            return PeerState.CONNECTED
+        if state == TCP_CLOSE:
+            return PeerState.GONE
+        return PeerState.FINISHED if state == TCP_CLOSE_WAIT else PeerState.CONNECTED
+
+
+PEER_STATES = PeerStates()  # of the process
+
+
 def peer_state(sock: socket.socket) -> PeerState:
-    """Returns what the peer has done. Unlike a read, this looks past the data that is still unread."""
-    try:
-        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    except (OSError, IndexError):
-        return PeerState.CONNECTED
-    if state == TCP_CLOSE:
-        return PeerState.GONE
-    return PeerState.FINISHED if state == TCP_CLOSE_WAIT else PeerState.CONNECTED
+    """Returns what the peer has done; see PeerStates."""
+    return PEER_STATES.read(sock)
 
 
 def accept_queue_length(listening: socket.socket) -> int:
@@ -137,9 +159,9 @@
 def unread_bytes(sock: socket.socket, buffer: memoryview) -> int:
     """Returns how many bytes can be read at once, at most as many as fit into `buffer`. Raises OSError.
 
-    BlockingIOError: there are none now; 0: the stream has ended. MSG_TRUNC keeps them from being copied.
+    BlockingIOError: there are none now; 0: the stream has ended.
     """
-    return sock.recv_into(buffer, len(buffer), socket.MSG_PEEK | socket.MSG_DONTWAIT | socket.MSG_TRUNC)
+    return sock.recv_into(buffer, len(buffer), socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 
 def end_writing(transport: asyncio.Transport) -> None:
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -14,6 +15,7 @@
     plan_memory,
 )
 from rainpier.pressure.turns import ITERATION_S, Turns
+from rainpier.sockets import TCP_CLOSE, TCP_CLOSE_WAIT, TCP_ESTABLISHED, PeerState, PeerStates
 
 
 class Clock:
@@ -162,6 +164,19 @@
     assert log[:6] == ["a", "b", "c", "a", "b", "c"][: len(log[:6])]
 
 
+def test_a_turn_that_fails_does_not_keep_the_others_from_theirs():
+    clock, log = Clock(), []
+    turns = Turns(clock.time, clock.soon.append)
+    failing = Client("failing", 5, log, clock)
+    turns.start(failing)
+    turns.start(Client("other", 1, log, clock))
+    failing.run_turn = lambda: 1 / 0
+    with pytest.raises(ZeroDivisionError):
+        run_iteration(clock)
+    run_iteration(clock)
+    assert log[-1] == "other"
+
+
 def test_a_client_that_has_finished_is_not_given_another_turn():
     clock, log = Clock(), []
     turns = Turns(clock.time, clock.soon.append)
@@ -169,3 +184,22 @@
     for _ in range(3):
         run_iteration(clock)
     assert log == ["a", "a"] and not clock.soon
+
+
+class EmulatedSocket:
+    """A socket whose TCP_INFO has the given state, as below a library that emulates sockets."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def getsockopt(self, *_):
+        return bytes([self.state])
+
+
+def test_states_of_connections_count_only_where_one_was_seen_as_established():
+    """A library that carries the connections itself may leave the system's sockets closed."""
+    states = PeerStates()
+    assert states.read(EmulatedSocket(TCP_CLOSE)) is PeerState.CONNECTED
+    assert states.read(EmulatedSocket(TCP_ESTABLISHED)) is PeerState.CONNECTED
+    assert states.read(EmulatedSocket(TCP_CLOSE)) is PeerState.GONE
+    assert states.read(EmulatedSocket(TCP_CLOSE_WAIT)) is PeerState.FINISHED
