End the clients of a play for certain, also where a cancellation is swallowed

Cause: traced: a whole test run stood still in the plays of the crowds. asyncio.wait_for of Python 3.11 may return a result in place of the cancellation that came at the same time; the client went on, and the play waited for it for ever. Change: the tasks are cancelled until they have ended.

--- a/tests/standins/limits.py
+++ b/tests/standins/limits.py
@@ -106,6 +106,14 @@
         )
 
 
+async def cancel_all(tasks: list[asyncio.Task]) -> None:
+    """Cancels tasks until they have ended: asyncio.wait_for may swallow a cancellation (Python 3.11)."""
+    while running := [task for task in tasks if not task.done()]:
+        for task in running:
+            task.cancel()
+        await asyncio.wait(running, timeout=0.1)
+
+
 class HonestClient:
     """Submits a message at each interval and measures the time to its reply.
 
@@ -276,9 +284,7 @@
         target = amqp_port if play.listener == "amqp" else port
         async with crowd.running_crowd(play.listener, play.kind, target, size, seconds) as running:
             await running.wait()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
 
 
 def all_plays() -> list[tuple[str, str, str]]:
