Take replies and eviction out of the RESP connection and listener, no change of behaviour

Change: replies.py has the queue of replies with its size, eviction.py which connections make room. Tests patch the constant at its new place.

--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import socket
-from collections import deque
 from typing import Protocol
 
 import hiredis
@@ -13,7 +12,8 @@
 from ...pressure.memory import MemoryPool, Share
 from ...pressure.turns import TURN_S, Turns
 from ...sockets import PeerState, end_writing, peer_state, unread_bytes
-from ...submission import PendingResult, RetryLater
+from ...submission import RetryLater
+from .replies import Reply, ReplyQueue
 from .requests import RequestParser, announced_end, encode_result, error_reply, find_request_end
 from .session import Session
 
@@ -27,8 +27,6 @@
 
 BUSY = encode_result(RetryLater(1000))  # refuses a request while room is short
 
-Reply = PendingResult | bytes  # bytes: a reply that the session has already encoded
-
 
 class Listener(Protocol):
     """Interface of the listener that a connection uses."""
@@ -60,8 +58,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()  # received and not handled yet
         self.session = Session(listener.password)
-        self.replies: deque[Reply] = deque()  # not written yet, in the order of their requests
-        self.reply_bytes = 0  # of the encoded ones among them
+        self.replies = ReplyQueue()
         self.unsent = 0  # bytes of replies that wait to be sent, at the last check
         self.share = Share(listener.pool)
         self.last_activity = self.loop.time()  # s, of the connect or the last request, reply or close
@@ -161,6 +158,11 @@
         """Whether shutdown still has to wait for this connection."""
         return bool(self.replies) or self.read_scheduled if self.listener.ignore_partial else self.busy
 
+    @property
+    def between_requests(self) -> bool:
+        """Whether it has had a request, and holds no part of another one."""
+        return self.has_requested and not self.buffer
+
     @property
     def idle_since(self) -> float:
         """Loop time, s, of the start of the incomplete request, else of the last request or reply."""
@@ -199,7 +201,7 @@
         return (
             self.write_paused
             or len(self.replies) >= self.max_unanswered
-            or (self.reply_bytes > 0 and self.reply_bytes >= self.share.room)
+            or 0 < self.replies.encoded_size >= self.share.room
         )
 
     def run_turn(self) -> bool:
@@ -256,10 +258,7 @@
         """Handles one complete request. Raises hiredis.ProtocolError if the parser rejects it."""
         request = self.listener.parser.parse(data)
         self.requests += 1
-        reply = self.listener.handle_request(request, self.session, self.share.room)
-        self.replies.append(reply)
-        if isinstance(reply, bytes):
-            self.reply_bytes += len(reply)
+        self.replies.append(self.listener.handle_request(request, self.session, self.share.room))
 
     def has_left(self) -> bool:
         """Checks whether the client is gone; if so, drops what it sent and closes.
@@ -303,7 +302,7 @@
         if self.closing:
             return
         unsent = self.transport.get_write_buffer_size() if self.write_paused and self.transport else 0
-        self.share.resize(len(self.buffer) + self.reply_bytes + unsent, self)
+        self.share.resize(len(self.buffer) + self.replies.encoded_size + unsent, self)
 
     def try_resume(self) -> bool:
         """Goes on reading if there is room, or handles the request if all of it has arrived; see Holder."""
@@ -369,19 +368,9 @@
 
         That one's result calls `on_result`. Closes the connection if it was waiting for these replies only.
         """
-        encoded = []
-        while self.replies:
-            reply = self.replies[0]
-            if isinstance(reply, asyncio.Future):
-                if not reply.done():
-                    reply.add_done_callback(self.on_result)
-                    break
-                reply = reply.result()
-            if isinstance(self.replies.popleft(), bytes):
-                self.reply_bytes -= len(reply)
-            encoded.append(reply if isinstance(reply, bytes) else encode_result(reply))
+        encoded = self.replies.take_ready(self.on_result)
         if encoded and self.transport is not None:
-            self.transport.write(b"".join(encoded))
+            self.transport.write(encoded)
             self.last_activity = self.loop.time()
             self.update_share()
         if self.close_after_replies and not self.replies and not self.read_scheduled:
@@ -407,9 +396,7 @@
         self.buffer.clear()
         self.close_reason = self.close_reason or "request_error"
         self.read_scheduled, self.close_after_replies, self.ignore_input = False, True, True
-        reply = error_reply(text)
-        self.replies.append(reply)
-        self.reply_bytes += len(reply)
+        self.replies.append(error_reply(text))
         self.update_share()
         self.write_replies()
         self.update_reading()
@@ -441,7 +428,6 @@
         with contextlib.suppress(hiredis.ProtocolError):
             while end := find_request_end(self.buffer, start):
                 self.replies.append(BUSY)
-                self.reply_bytes += len(BUSY)
                 start = end
         self.close_reason = "room"
         self.close_with_error("room is short")
@@ -451,7 +437,7 @@
         self.close_reason = "room"
         if self.write_paused and self.transport is not None:
             return self.transport.abort()  # the client does not read
-        if self.has_requested and not self.buffer:
+        if self.between_requests:
             self.close()
         else:
             self.close_with_error("no whole request, and room is short")
--- a/rainpier/fronts/resp/server.py
+++ b/rainpier/fronts/resp/server.py
@@ -12,7 +12,9 @@
 from ...pressure.turns import Turns
 from ...sockets import accept_queue_length, listening_socket
 from ...submission import PendingResult, Submission
-from .connection import Connection, Reply
+from .connection import Connection
+from .eviction import busiest_first, evictable
+from .replies import Reply
 from .requests import BadRequest, RequestParser, error_reply, parse_submission, printable
 from .session import Session
 
@@ -20,11 +22,6 @@
 READ_BUFFER_BYTES = 65536  # largest number of bytes of one read
 SEND_BUFFER_BYTES = 65536  # of the kernel for one client: one that does not read is found out soon
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted: all clients may connect at once
-# At the connection limit, a connection without a request in flight may be closed after this time. Otherwise
-# clients that send one request and stay connected keep out the others, which retry on new connections.
-IDLE_BEFORE_EVICTION_S = 0.2
-UNREAD_BEFORE_EVICTION_S = 0.5  # the same while it does not read its replies: clients wait 0.4 s for one
-SILENT_BEFORE_EVICTION_S = 0.1  # the same before its first complete request, which clients send at once
 TIMEOUT_CHECK_INTERVAL_S = 0.2  # between checks for connections past a time limit
 REPEATING_COMMANDS = (b"ECHO", b"PING")  # their replies repeat what the client sent
 ACCEPTS_PER_TURN = 32  # new connections accepted in one iteration of the event loop
@@ -185,8 +182,7 @@
 
         Otherwise as many of them as the limit allows would keep out all others. Returns False if none does.
         """
-        sending = [c for c in self.connections if c.reading_paused and not c.ignore_input and not c.closing]
-        busiest = sorted(sending, key=lambda c: -c.requests)[:count]
+        busiest = busiest_first(self.connections)[:count]
         for connection in busiest:
             connection.give_way()
         return bool(busiest)
@@ -194,9 +190,8 @@
     def evict(self, count: int) -> bool:
         """Closes up to `count` idle connections, so that silent clients cannot keep out active ones.
 
-        Lingering connections are closed first, then those with no complete request or with a part of one,
-        then those without a request in flight; of each kind the longest idle one. One with an unread request
-        is kept. Returns False if there is none to close.
+        Lingering connections are closed first, then those that `evictable` returns. One with an unread
+        request is kept. Returns False if there is none to close.
         """
         evicted = 0
         for connection in sorted(self.lingering, key=lambda c: c.last_activity)[:count]:
@@ -204,7 +199,8 @@
             if connection.transport is not None:
                 connection.transport.abort()
             evicted += 1
-        for connection in self.evictable() if evicted < count else ():
+        candidates = evictable(self.connections, self.loop.time()) if evicted < count else []
+        for connection in candidates:
             if connection.has_unread_request():
                 continue
             connection.evict()
@@ -213,21 +209,6 @@
                 break
         return evicted > 0
 
-    def evictable(self) -> list[Connection]:
-        """Returns the idle connections, in the order in which they are to be closed."""
-        now = self.loop.time()
-        evictable: list[tuple[bool, float, Connection]] = [
-            (c.has_requested and not c.buffer, c.idle_since, c)
-            for c in self.connections
-            if not c.closing and not c.ignore_input and not c.replies and not c.read_scheduled
-            and not c.write_paused and now - c.idle_since
-            > (IDLE_BEFORE_EVICTION_S if c.has_requested else SILENT_BEFORE_EVICTION_S)
-        ]  # fmt: skip
-        not_reading = [
-            c for c in self.connections if c.write_paused and now - c.last_activity > UNREAD_BEFORE_EVICTION_S
-        ]
-        return not_reading + [c for _, _, c in sorted(evictable, key=lambda candidate: candidate[:2])]
-
     def add_connection(self, peer: socket.socket) -> None:
         """Starts serving an accepted connection."""
         peer.setblocking(False)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -185,7 +185,7 @@
 
 def test_idle_connections_are_evicted_for_new_clients(monkeypatch):
     """Otherwise clients that send one request and stay connected would take all connections."""
-    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_BEFORE_EVICTION_S", 0.1)
+    monkeypatch.setattr("rainpier.fronts.resp.eviction.IDLE_BEFORE_EVICTION_S", 0.1)
 
     async def scenario():
         async with running_listener(max_connections=3) as (listener, _), contextlib.AsyncExitStack() as stack:
@@ -215,7 +215,7 @@
 
 
 def test_connection_with_a_request_in_flight_is_not_evicted(monkeypatch):
-    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_BEFORE_EVICTION_S", 0.0)
+    monkeypatch.setattr("rainpier.fronts.resp.eviction.IDLE_BEFORE_EVICTION_S", 0.0)
 
     async def scenario():
         result = asyncio.get_running_loop().create_future()
@@ -412,7 +412,7 @@
 
 
 def test_connection_with_an_unread_request_is_not_evicted(monkeypatch):
-    monkeypatch.setattr("rainpier.fronts.resp.server.IDLE_BEFORE_EVICTION_S", 0.0)
+    monkeypatch.setattr("rainpier.fronts.resp.eviction.IDLE_BEFORE_EVICTION_S", 0.0)
 
     async def scenario():
         async with (
