Close a client at once that leaves while its request waits for memory

Cause: found on reading the change again: a connection without room is not read, so that the end of its stream was not seen; a client that had left half way kept it until the time limit of 2.4 s, and it could not be evicted. Change: where the rest of the announced request is not there and the TCP state says that the client sends no more, the connection is closed. The other new test holds that a request that has arrived is handled without room.

--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -172,7 +172,7 @@
         """Whether the socket may hold a whole request, or the rest of the incomplete one."""
         if self.closing or self.write_paused:
             return False
-        return self.unread_rest() is not None if self.buffer else self.has_unread_data()
+        return bool(self.unread_rest()) if self.buffer else self.has_unread_data()
 
     def has_unread_data(self) -> bool:
         """Whether the socket holds data that the event loop has not read yet, possibly a complete request."""
@@ -310,8 +310,10 @@
             return True  # does not read; `update_reading` waits again if it has to
         if not self.share.room:
             rest = self.unread_rest()
-            if rest is None:
+            if rest is None or not rest and self.replies:
                 return False
+            if not rest:  # the client has left in the middle of its request
+                return self.abandon()
             self.read_rest(rest)
         self.update_reading()
         return not self.reading_paused or self.read_scheduled
@@ -319,7 +321,7 @@
     def unread_rest(self) -> int | None:
         """Returns the size of the incomplete request's rest if it has arrived, but is not read yet, bytes.
 
-        0 at the end of the stream; None if more has to arrive.
+        0 if the stream ends before; None if more has to arrive.
         """
         try:
             unread = unread_bytes(self.sock, self.listener.read_buffer)
@@ -328,21 +330,28 @@
             return None
         except hiredis.ProtocolError:
             return 0
-        missing = end - len(self.buffer)
         if not unread:
             return 0
-        return missing if all_announced and 0 < missing <= unread else None
+        missing = end - len(self.buffer)
+        if not all_announced or missing <= 0:
+            return None
+        if missing <= unread:
+            return missing
+        peer_sends = peer_state(self.sock) is PeerState.CONNECTED
+        return None if peer_sends or unread == len(self.listener.read_buffer) else 0
+
+    def abandon(self) -> bool:
+        """Closes a connection whose client sends no more of its incomplete request; returns True."""
+        self.close_reason = self.close_reason or "client_left"
+        if self.transport is not None:
+            self.transport.abort()
+        return True
 
     def read_rest(self, size: int) -> None:
         """Reads and handles a request of which all has arrived, although there is no room.
 
-        It is in memory no longer than this takes. `size`: as unread_rest returns it.
+        It is in memory no longer than this takes. `size`: of its rest, bytes.
         """
-        if not size:
-            if self.transport is not None and self.reading_paused:  # the transport has to see the end
-                self.reading_paused = False
-                self.transport.resume_reading()
-            return
         try:
             size = self.sock.recv_into(self.listener.read_buffer, size)
         except OSError:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,6 +8,7 @@
 import pytest
 from peers import RespClient, encode_command, encode_submission, run_with_timeout, wait_until
 
+from rainpier.fronts.resp.connection import REQUEST_TIMEOUT_S
 from rainpier.fronts.resp.server import RespListener
 from rainpier.submission import Accepted, RetryLater
 
@@ -553,3 +554,30 @@
         await listener.close(within=0.2)
 
     run_with_timeout(scenario())
+
+
+def test_a_client_that_leaves_while_its_request_waits_for_memory_is_closed_at_once():
+    """It kept its connection until the time limit of the request, as its end was never read."""
+
+    async def scenario():
+        async with running_listener() as (listener, submitted), RespClient(listener.port) as client:
+            listener.pool.size = 0
+            request = encode_submission("a", body=b"x" * 60_000)
+            client.writer.write(request[:20_000])
+            await wait_until(lambda: listener.pool.waiting)
+            client.writer.write_eof()
+            begun = asyncio.get_running_loop().time()
+            await wait_until(lambda: not listener.connections)
+            assert asyncio.get_running_loop().time() - begun < REQUEST_TIMEOUT_S / 2 and not submitted
+
+    run_with_timeout(scenario())
+
+
+def test_a_request_that_has_arrived_is_handled_while_no_memory_is_left():
+    async def scenario():
+        async with running_listener() as (listener, submitted), RespClient(listener.port) as client:
+            listener.pool.size = 0
+            assert await client.request(encode_submission("a", body=b"x" * 60_000)) == "OK"
+            assert [len(m.body) for m in submitted] == [60_000] and not listener.pool.used
+
+    run_with_timeout(scenario())
