--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from .loopback import LOOPBACK
 from .record import Record
 
 ANSWER_TIMEOUT_S = 0.4
@@ -19,7 +20,7 @@
     async def command(self, *parts: bytes) -> str:
         """Sends one command and returns the answer's line; "" if none came within the time."""
         if self.writer is None or self.reader is None or self.reader.at_eof() or self.writer.is_closing():
-            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.reader, self.writer = await asyncio.open_connection(LOOPBACK, self.port)
         request = b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts)
         self.writer.write(request)
         try:
--- a/review/standins_2/http.py
+++ b/review/standins_2/http.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from .loopback import LOOPBACK
+
 REASONS = {200: "OK", 204: "No Content", 429: "Too Many Requests", 500: "Internal Server Error"}
 
 
@@ -54,15 +56,15 @@
         self.ending = False  # connections are closed once their request is answered
 
     async def start(self, port: int = 0) -> None:
-        """Listens on a free port of 127.0.0.1, or on `port`."""
+        """Listens on a free loopback port, or on `port`."""
         self.ending = False
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 20)
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, port, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
 
     @property
     def address(self) -> str:
         """The server's address as HOST:PORT."""
-        return f"127.0.0.1:{self.port}"
+        return f"{LOOPBACK}:{self.port}"
 
     def stop_listening(self) -> None:
         """Takes no new connection any more; open ones stay open."""
--- a/review/standins_2/sender.py
+++ b/review/standins_2/sender.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from .client import Client
+from .loopback import LOOPBACK
 from .record import Record
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -17,9 +18,9 @@
 
 
 def free_port() -> int:
-    """Returns a port of 127.0.0.1 that is free now."""
+    """Returns a loopback port that is free now."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((LOOPBACK, 0))
         return sock.getsockname()[1]
 
 
@@ -36,7 +37,7 @@
     def configuration(self, known: dict[str, object]) -> dict[str, object]:
         """Returns the configuration as the page DEPLOY shows it."""
         return {
-            "name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery,
+            "name": self.name, "listen": f"{LOOPBACK}:{self.port}", "discovery": self.discovery,
             "seed": f"8c1f30d27a5be9{self.starts:02x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": known, "settings": self.settings,
@@ -53,7 +54,8 @@
         self.starts += 1
         inherited = {name: value for name, value in os.environ.items() if name != "PYTHONPATH"}
         environment = inherited | {
-            "EDGE_NAME": self.name, "EDGE_LISTEN": f"127.0.0.1:{self.port}", "EDGE_DISCOVERY": self.discovery,
+            "EDGE_NAME": self.name, "EDGE_LISTEN": f"{LOOPBACK}:{self.port}",
+            "EDGE_DISCOVERY": self.discovery,
             "EDGE_STATE": str(self.folder / "state"), "EDGE_CONFIG": str(self.folder / "config.json"),
             "TMPDIR": str(self.folder / "tmp"),
         }  # fmt: skip
