Log the end of a call some of whose outcomes were reported before it

Change: attempt_ended has the field call_open, and call_ended names the messages whose outcomes were reported before (both at debug level).

--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -197,6 +197,7 @@
                 self.retry_after.route_name(endpoint), self.retry_after.extend(endpoint, result.retry_after)
             )
         self.log_failures(call, result)
+        self.log_reported_early(call)
         completed, open_entries = [], []
         for entry, attempt, (outcome, closed_by_receiver) in zip(
             call.entries, call.attempts, result.outcomes, strict=True
@@ -249,7 +250,7 @@
         """
         self.by_message.pop(entry.number, None)
         fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.name,
-                  "connection": call.connection, "use": call.uses}  # fmt: skip
+                  "connection": call.connection, "use": call.uses, "call_open": call.open}  # fmt: skip
         record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
         elapsed = (self.core.loop.time() - call.started) * 1000
         endpoint = call.receiver.entry.endpoint
@@ -263,6 +264,17 @@
         self.by_message.pop(entry.number, None)
         self.completions.release_key(entry)
 
+    def log_reported_early(self, call: Call) -> None:
+        """Logs the end of a call some of whose messages had got their outcomes before it."""
+        early = [entry for entry in call.entries if entry.number in call.completed]
+        if early:
+            elapsed = (self.core.loop.time() - call.started) * 1000
+            record(
+                "call_ended", "outcomes_reported_before", level=logging.DEBUG,
+                ids=",".join(entry.id for entry in early), endpoint=call.receiver.name,
+                connection=call.connection, use=call.uses, elapsed_ms=f"{elapsed:.1f}",
+            )  # fmt: skip
+
     def log_failures(self, call: Call, result: CallResult) -> None:
         """Logs failed attempts, to help diagnose an outage. Refusals are routine and not logged.
 
