Count a key's pause from the end of the call, not from one message's time-out

One of them has a key and reaches its deadline, its client is notified; when the sender gives up the call for the others, the key's next message goes at once, while the older one may still be running. turn-gap is owed from the end of the call.

Cause: InFlightCalls.expire reports the time-out of one message while its call goes on, and the policy counts the pause from that Result. At the call's end the node only released the key (EndAnswered), so that no pause began there.

Change: the part that sees calls end begins the pause: node/key_pauses.py tells the policy by the event KeyPaused, before the key is released, whether the call is answered, closed, cancelled or given up. Over AMQP the publish of an expired message ends with its own confirm or the close of its channel, and no longer holds its key until the call's other confirms are in. A shorter pause never ends a longer one.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -210,6 +210,18 @@
     key: int
 
 
+@dataclass(slots=True, frozen=True)
+class KeyPaused:
+    """A call ended that may still be running at its receiver: the key's next message waits for `duration`.
+
+    Counted from the end of the call, which may follow the Result of the attempt: a message at its deadline
+    gets its Result while its call goes on for others.
+    """
+
+    key: int
+    duration: float
+
+
 @dataclass(slots=True, frozen=True)
 class ClassesChange:
     """Replaces the classes: existing classes keep their numbers, new ones are appended."""
@@ -311,8 +323,8 @@
 
 
 Event = (
-    Arrival | Resumed | Result | EndAnswered | ClassesChange | DestinationsGone | Remembered | Stopping
-    | Stalled | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
+    Arrival | Resumed | Result | EndAnswered | KeyPaused | ClassesChange | DestinationsGone | Remembered
+    | Stopping | Stalled | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
 )  # fmt: skip
 
 
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -16,6 +16,7 @@
 from ..store.entry import Entry
 from .completions import Completions
 from .core import Core
+from .key_pauses import KeyPauses
 from .retry_after import RetryAfterDeadlines
 
 log = logging.getLogger(__name__)
@@ -46,6 +47,7 @@
         )
         self.receivers.on_partial_result = self.on_partial_outcome
         self.retry_after = RetryAfterDeadlines(core, self.receivers)
+        self.key_pauses = KeyPauses(core)
         self.reconfigure()
 
     def reconfigure(self) -> None:
@@ -189,7 +191,7 @@
     def on_result(self, call: Call, result: CallResult) -> None:
         """Handles the end of a call: records the outcomes and completes the messages that it closed.
 
-        A message that got its outcome before its call ended (`call.completed`) is only released.
+        Of a message that got its outcome before its call ended (`call.completed`) only the key is released.
         """
         if result.retry_after:
             endpoint = call.receiver.entry
@@ -216,8 +218,15 @@
         self.store.record_outcomes(open_entries)
 
     def on_partial_outcome(self, call: Call, entry: Entry, outcome: i.Outcome) -> None:
-        """Handles the outcome of one message while its call goes on for the others."""
-        if not call.open or entry.number in call.completed:
+        """Handles the outcome of one message while its call goes on for the others.
+
+        The attempt of a message that expired before (`expire`) ends only now.
+        """
+        if not call.open:
+            return
+        if entry.number in call.completed:
+            if self.by_message.get(entry.number) is call:
+                self.release(entry)
             return
         call.completed.add(entry.number)
         attempt, closed = call.attempts[call.entries.index(entry)], outcome is i.Outcome.OK
@@ -238,7 +247,7 @@
             self.store.record_outcomes([(entry, i.Outcome.TIMEOUT)])
             attempt = call.attempts[call.entries.index(entry)]
             self.end_attempt(call, entry, attempt, i.Outcome.TIMEOUT, False, CallResult([]))
-            # stays in flight: the next message of its key must not be sent before this call has ended
+            # Stays in flight until the call ends (`release`): only then does the pause of its key begin.
             self.by_message[entry.number] = call
 
     def end_attempt(
@@ -260,8 +269,9 @@
         )
 
     def release(self, entry: Entry) -> None:
-        """Removes a message whose call has ended, and releases its key for the next message."""
+        """Removes a message that expired before its call ended; its key's next message may follow a pause."""
         self.by_message.pop(entry.number, None)
+        self.key_pauses.begin(entry)
         self.completions.release_key(entry)
 
     def log_reported_early(self, call: Call) -> None:
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -718,6 +718,7 @@
             i.Remembered: self.on_remembered,
             i.Stalled: self.on_stalled,
             i.EndAnswered: lambda event: self.leave_key_queue(event.key, event.message),
+            i.KeyPaused: lambda event: self.pause_key(event.key, event.duration),
             i.Withdrawn: lambda event: self.complete(event.message),
         }
 
@@ -988,7 +989,7 @@
             message.retry_wait = self.draw_wait(message.retry_wait)
             message.not_before = self.now + max(message.retry_wait, self.settings.turn_gap)
             if message.key:
-                self.pause_key(message.key)
+                self.pause_key(message.key, self.settings.turn_gap)
         self.enqueue(message)
         if self.now > message.repeat_until or message.attempts >= self.settings.max_attempts:
             self.refuse_or_fail(message)
@@ -997,10 +998,11 @@
         """Returns one object for all equal classes, since lanes are told apart by its identity."""
         return self.equal_classes.setdefault(cls, cls)
 
-    def pause_key(self, key: int) -> None:
-        """Delays the key's next message by Settings.turn_gap, since an attempt may still be running."""
-        self.key_paused_until[key] = self.now + self.settings.turn_gap + 1
-        self.key_pause_ends.set(key, self.key_paused_until[key])
+    def pause_key(self, key: int, duration: float) -> None:
+        """Delays the key's next message by `duration` ms at least, since an attempt may still be running."""
+        until = max(self.key_paused_until.get(key, 0.0), self.now + duration + 1)
+        self.key_paused_until[key] = until
+        self.key_pause_ends.set(key, until)
         head = self.messages.get(self.key_queues[key][0]) if key in self.key_queues else None
         if head and (backlog := self.backlogs.get(head.destination)) and head.id in backlog.messages:
             self.schedule(head, backlog)
@@ -1183,7 +1185,7 @@
         if call.results_due == call.size - 1 and outcome is not Outcome.MOOT:
             self.record_outcome(event, call)
         if key and outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
-            self.pause_key(key)
+            self.pause_key(key, self.settings.turn_gap)
         message = self.messages.get(event.message)
         if message is None:
             return self.leave_key_queue(key, event.message)
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -244,6 +244,7 @@
             i.DestinationsGone: self.on_destinations_gone,
             i.Remembered: self.on_remembered,
             i.EndAnswered: lambda event: self.leave_key_queue(event.key, event.message),
+            i.KeyPaused: lambda event: self.pause_key(event.key, event.duration),
             i.Withdrawn: lambda event: self.complete(event.message),
         }
 
@@ -374,7 +375,7 @@
             message.retry_wait = self.draw_wait(message.retry_wait)
             message.not_before = self.now + max(message.retry_wait, self.settings.turn_gap)
             if message.key:
-                self.key_paused_until[message.key] = self.now + self.settings.turn_gap + 1
+                self.pause_key(message.key, self.settings.turn_gap)
         if self.now > self.repeat_until(message) or message.attempts >= self.settings.max_attempts:
             self.refuse_or_fail(message)
 
@@ -446,6 +447,11 @@
         if rest := [other for other in self.key_queues.pop(key, ()) if other != message]:
             self.key_queues[key] = rest
 
+    def pause_key(self, key: int, duration: float) -> None:
+        """Delays the key's next message by `duration` ms at least."""
+        until = max(self.key_paused_until.get(key, 0.0), self.now + duration + 1)
+        self.key_paused_until[key] = until
+
     def refuse_or_fail(self, message: Message, min_wait: float = 0.0) -> None:
         """Ends a message: refused where submitting it again is harmless, otherwise failed.
 
@@ -509,7 +515,7 @@
         if call.results_due == call.size - 1 and outcome is not Outcome.MOOT:
             self.record_outcome(event, call)
         if key and outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
-            self.key_paused_until[key] = self.now + self.settings.turn_gap + 1
+            self.pause_key(key, self.settings.turn_gap)
         message = self.messages.get(event.message)
         if message is None:
             return self.leave_key_queue(key, event.message)
--- /dev/null
+++ b/tests/test_key_pauses.py
@@ -0,0 +1,194 @@
+"""The pause of an ordering key counts from the end of a call that may still be running (issue 76)."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+from peers import (
+    DiscoveryServer,
+    HttpServer,
+    RespClient,
+    encode_submission,
+    endpoint_entry,
+    run_with_timeout,
+    wait_until,
+)
+from standins.broker import ScriptedBroker
+from standins.station import Station, make_config_text
+from test_node import sender
+
+from rainpier import policy
+
+GAP_MS, LONGER_THAN_GAP_S = 400.0, 0.5
+RULES = {"drain-grace": 500.0, "turn-gap": GAP_MS}
+KEY, OTHER_KEY = "000000000000002a", "000000000000002b"
+ROWS = json.dumps([{"id": name, "state": "delivered"} for name in ("first", "other")]).encode()
+
+
+class CallEnds:
+    """Notes when calls of a node end: loop times (s) by the ids of their messages."""
+
+    def __init__(self, node):
+        self.times, self.on_result, self.loop = {}, node.calls.receivers.on_result, node.core.loop
+        node.calls.receivers.on_result = self.note
+
+    def note(self, call, result):
+        """Notes the time, and passes the result on."""
+        for entry in call.entries:
+            self.times.setdefault(entry.id, self.loop.time())
+        self.on_result(call, result)
+
+    async def of(self, message):
+        """Waits for the end of the first call with the message; returns its loop time, s."""
+        await wait_until(lambda: message in self.times)
+        return self.times[message]
+
+
+class KeyedReceiver(HttpServer):
+    """Answers 200 to calls without the message "first", and `first_response` to those with it.
+
+    `begun`: loop time (s) of the first request with each message.
+    """
+
+    def __init__(self, first_response):
+        super().__init__(self.respond)
+        self.first_response, self.begun = first_response, {}
+
+    def respond(self, request, body):
+        """Notes which messages begin, and returns the response."""
+        headers = dict(request.headers)
+        batch = request.target.endswith(b":batch")
+        names = [row["id"] for row in json.loads(body)] if batch else [headers[b"x-call-id"].decode()]
+        for name in names:
+            self.begun.setdefault(name, asyncio.get_running_loop().time())
+        if "first" in names:
+            return self.first_response
+        return 200, [], json.dumps([{"id": name, "state": "delivered"} for name in names]).encode()
+
+
+@contextlib.asynccontextmanager
+async def keyed_sender(tmp_path, receiver, kind="bulk", **settings):
+    """Runs a node with a pause of GAP_MS before one receiver, and yields it with its discovery and a client.
+
+    `settings` replace entries of peers.SETTINGS.
+    """
+    async with DiscoveryServer() as discovery:
+        discovery.endpoints = [endpoint_entry("r1", receiver.address, kind=kind)]
+        async with (
+            sender(tmp_path, discovery, rules=RULES, **settings) as node,
+            RespClient(node.port) as client,
+        ):
+            yield node, discovery, client
+
+
+async def submit(client, *messages):
+    """Submits messages together, each by its id, class, lifetime in ms and key."""
+    for name, cls, lifetime_ms, key in messages:
+        fields = f",k={name}" if cls == "keyed" else ""
+        client.writer.write(encode_submission(name, cls, lifetime_ms, key=key, extra_fields=fields))
+    assert [await client.read_reply() for _ in messages] == ["OK"] * len(messages)
+
+
+def assert_paused(ended_at, begun_at):
+    """Asserts that the pause lay between the end of a call and the begin of the next one (loop times, s)."""
+    assert begun_at - ended_at >= GAP_MS / 1000
+
+
+# Guards against a key's next message that goes at once when a call given up after its message's deadline ends.
+@pytest.mark.parametrize("end", ["closed", "answered", "cancelled", "timed out"])
+def test_a_key_pauses_from_the_end_of_a_call_that_outlasted_its_message(tmp_path, end):
+    async def scenario():
+        gate = asyncio.get_running_loop().create_future()
+        async with (
+            KeyedReceiver(gate) as receiver,
+            keyed_sender(tmp_path, receiver) as (node, discovery, client),
+        ):
+            ends = CallEnds(node)
+            await submit(
+                client,
+                ("first", "keyed", 600, KEY),
+                ("other", "unsafe", 20000, "0" * 16),
+                ("second", "keyed", 20000, KEY),
+            )
+            assert (await discovery.next_notification())["message"] == "first"
+            await wait_until(lambda: not [e for e in node.store.entries.values() if e.id == "first"])
+            await asyncio.sleep(LONGER_THAN_GAP_S)  # counted from the report, a pause would be over
+            assert len(node.calls.receivers.calls) == 1 and "second" not in receiver.begun
+            if end == "cancelled":
+                (call,) = node.calls.receivers.calls
+                call.task.cancel()
+            elif end != "timed out":
+                gate.set_result(None if end == "closed" else (200, [], ROWS))
+            ended_at = await ends.of("first")
+            await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(ended_at, receiver.begun["second"])
+            await wait_until(lambda: not node.store.entries)
+
+    run_with_timeout(scenario())
+
+
+# Guards against a pause of a key that never ends, or that also holds messages of other keys.
+def test_the_pause_after_a_call_that_outlasted_its_message_holds_only_that_key(tmp_path):
+    async def scenario():
+        gate = asyncio.get_running_loop().create_future()
+        async with (
+            KeyedReceiver(gate) as receiver,
+            keyed_sender(tmp_path, receiver) as (node, discovery, client),
+        ):
+            ends = CallEnds(node)
+            await submit(client, ("first", "keyed", 600, KEY), ("other", "safe", 20000, "0" * 16))
+            assert (await discovery.next_notification())["message"] == "first"
+            await asyncio.sleep(LONGER_THAN_GAP_S)
+            gate.set_result((200, [], ROWS))
+            ended_at = await ends.of("first")
+            await submit(client, ("second", "keyed", 20000, KEY), ("third", "keyed", 20000, OTHER_KEY))
+            await wait_until(lambda: len(receiver.begun) == 4)
+            assert_paused(ended_at, receiver.begun["second"])
+            assert receiver.begun["third"] - ended_at < GAP_MS / 1000
+            await wait_until(lambda: not node.store.entries)
+
+    run_with_timeout(scenario())
+
+
+# Guards against the same over AMQP: a publish whose confirm is still awaited by its call when its deadline passes.
+@pytest.mark.parametrize("end", ["confirmed", "broken off"])
+def test_a_key_pauses_from_the_end_of_a_publish_that_outlasted_its_message(tmp_path, end, monkeypatch):
+    monkeypatch.setattr(policy, "MIN_TIMEOUT_MS", 6000.0)  # the call goes on until "other" is confirmed
+
+    async def scenario():
+        script = {"first": "hold", "other": "hold"}
+        async with ScriptedBroker(lambda message: script.get(message, "ack")) as broker:
+            text = make_config_text({"orders": [broker.address]}, kind="batch = 20")
+            text += f'\n[rules]\nturn_gap = "{GAP_MS:.0f} ms"\n'
+            async with Station(tmp_path, text) as station:
+                loop = asyncio.get_running_loop()
+                assert await station.submit("warm", "notice", 1)
+                await wait_until(lambda: "warm" in broker.effects)
+                broker.block("low on memory")  # so that the next ones wait, and go in one call
+                await asyncio.sleep(0.05)
+                assert await station.submit("first", "render", 1, key=1, token="a", lifetime_ms=1500)
+                assert await station.submit("other", "charge", 1, lifetime_ms=8000)
+                assert await station.submit("second", "render", 1, key=1, token="b")
+                broker.block("")
+                await wait_until(lambda: len(broker.held) == 2)
+                (call,) = station.node.calls.receivers.calls
+                assert {entry.id for entry in call.entries} == {"first", "other"}
+                await wait_until(lambda: station.sink.completions)
+                assert station.sink.completions == [("first", "handed_back")]
+                await asyncio.sleep(LONGER_THAN_GAP_S)
+                assert call.open and "second" not in broker.effects
+                ended_at = loop.time()
+                if end == "confirmed":  # "other" is still awaited: the publish of "first" alone has ended
+                    broker.held = [broker.held[[entry.id for entry in call.entries].index("first")]]
+                    broker.release()
+                else:
+                    for connection in list(broker.connections):
+                        connection.abort()
+                await wait_until(lambda: "second" in broker.effects)
+                (begun_at,) = [at for at, name, *_ in broker.published if name == "second"]
+                assert_paused(ended_at, begun_at)
+                if end == "confirmed":
+                    assert call.open  # another publish's lost confirm holds up no key
+
+    run_with_timeout(scenario())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -207,6 +207,30 @@
     )
 
 
+def test_a_pause_of_a_key_delays_its_next_message_and_a_shorter_one_does_not_end_it():
+    rig = Rig()
+    rig.do(i.KeyPaused(5, 700.0))
+    paused_at = rig.now
+    assert sends(rig.arrive(1, cls=3, key=5)) == []
+    assert sends(rig.arrive(2, cls=3, key=6)) == [2]
+    rig.do(i.KeyPaused(5, 100.0), after=50.0)
+    (sent_at,) = [time for time, a in rig.run(1500) if isinstance(a, i.Send) and a.message == 1]
+    assert paused_at + 700.0 < sent_at < paused_at + 750.0
+
+
+def test_a_pause_that_begins_before_the_final_status_is_acknowledged_holds_the_next_message():
+    """The call of a message at its deadline ends later than its attempt: EndAnswered follows the pause."""
+    rig = Rig(ends_answered=True, max_attempts=1)
+    rig.arrive(1, cls=3, key=5)
+    rig.arrive(2, cls=3, key=5)
+    rig.result(1, i.Outcome.TIMEOUT)
+    assert sends(a for _, a in rig.run(1000)) == []
+    assert sends(rig.do(i.KeyPaused(5, 300.0), i.EndAnswered(1, 5))) == []
+    ended_at = rig.now
+    (sent_at,) = [time for time, a in rig.run(1000) if isinstance(a, i.Send)]
+    assert ended_at + 300.0 < sent_at < ended_at + 350.0
+
+
 @pytest.mark.parametrize("change", [
     i.ListChange(i.ListKind.DELTA, (i.EndpointEntry(7, 1, condition=i.Condition.DRAINING),)),
     i.ListChange(i.ListKind.DELTA, (i.EndpointEntry(7, 1, condition=i.Condition.GONE),)),
--- a/tests/test_same.py
+++ b/tests/test_same.py
@@ -100,10 +100,18 @@
             self.rng.random() < 0.3,
         )
 
+    def pauses(self, result):
+        """Returns the pause of a message's key after its call ended without a complete answer, if any."""
+        arrival = self.arrivals[result.message]
+        paused = result.outcome is Outcome.ERROR and arrival.key and CLASSES[arrival.cls].in_order
+        return [i.KeyPaused(arrival.key, 90.0 + result.message % 3 * 100.0)] if paused else []
+
     def events(self, busy, bad):
         """Returns the events of a round; busy: submissions in a quarter of the rounds; bad: see result."""
         found = [self.arrival() for _ in range(self.rng.choice([0, 0, 1, busy]))]
-        found += [self.result(bad) for _ in range(min(len(self.in_flight), self.rng.choice([0, 1, 1, 4])))]
+        results = [self.result(bad) for _ in range(min(len(self.in_flight), self.rng.choice([0, 1, 1, 4])))]
+        found += results
+        found += [pause for result in results for pause in self.pauses(result)]
         if self.rng.random() < 0.02:
             found.append(self.list_event())
         if self.rng.random() < 0.01 and self.arrivals:
