Pause a key after a call that the sender gave up for want of a usable answer

What a receiver could see: it begins an answer and stalls (or sends bytes that are no HTTP, or the answer to an earlier call), the sender closes the connection, and the key's next message goes at once, beside the older one that may still be running.

Cause: such an attempt counts as ERROR, and keys pause after TIMEOUT, RESET and CANCELLED only. But PROTOCOL's 'error' is an answer; with none of its own a call is 'timed out, when the sender stops waiting', and turn-gap is owed from then. Found by asking of each place where an outcome is reported when the key's pause begins.

Change: CallResult.answered says whether a complete answer to this call came, and KeyPauses pauses the keys of calls that ended without one. The outcome, and with it the retry and the circuit breaker, stay as they were.

--- a/rainpier/carriers/http/receivers.py
+++ b/rainpier/carriers/http/receivers.py
@@ -279,6 +279,7 @@
             log.warning("%s sent a response to another call: %s", call.receiver.name, error)
             connection.out_of_sync = True
             result = self.uniform_result(call, call.attempt.feed(Event.UNREADABLE))
+            result.answered = False
         except MalformedResponse as error:
             log.info("%s sent a malformed response: %s", call.receiver.name, error)
             result = self.failed_result(call, connection, Event.UNREADABLE)
@@ -327,6 +328,7 @@
         if not keep_idle and (event is not Event.DISCONNECTED or call.uses != 1):
             self.close_idle(call.receiver)
         result = self.uniform_result(call, outcome)
+        result.answered = False
         if connection is not None:  # a retry-after holds even if the rest of the response is missing
             result.retry_after = parse_retry_after(connection.headers)
         return result
--- a/rainpier/carriers/http/responses.py
+++ b/rainpier/carriers/http/responses.py
@@ -32,6 +32,8 @@
     outcomes: list[tuple[Outcome, bool]]
     retry_after: float = 0.0  # ms; 0: none
     load_report: tuple[float, ...] = ()  # empty: none
+    # Whether a complete answer to this call was received. Without one it may still be running.
+    answered: bool = True
 
 
 def parse_retry_after(headers: dict[str, str]) -> float:
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -209,6 +209,7 @@
                     self.release(entry)
                 continue
             closed = closed_by_receiver or outcome is i.Outcome.OK
+            self.key_pauses.on_attempt_ended(entry, outcome, result.answered)
             completed.append(entry) if closed else open_entries.append((entry, outcome))
             if closed:
                 self.completions.on_closed_by_call(entry, outcome)
@@ -229,6 +230,7 @@
                 self.release(entry)
             return
         call.completed.add(entry.number)
+        self.key_pauses.on_attempt_ended(entry, outcome, answered=True)
         attempt, closed = call.attempts[call.entries.index(entry)], outcome is i.Outcome.OK
         if closed:
             self.completions.on_closed_by_call(entry, outcome)
--- a/tests/test_key_pauses.py
+++ b/tests/test_key_pauses.py
@@ -6,6 +6,7 @@
 
 import pytest
 from peers import (
+    SETTINGS,
     DiscoveryServer,
     HttpServer,
     RespClient,
@@ -19,6 +20,7 @@
 from test_node import sender
 
 from rainpier import policy
+from rainpier.interface import Outcome
 
 GAP_MS, LONGER_THAN_GAP_S = 400.0, 0.5
 RULES = {"drain-grace": 500.0, "turn-gap": GAP_MS}
@@ -151,6 +153,64 @@
     run_with_timeout(scenario())
 
 
+# Guards against a key's next message that goes at once when the sender gives up a call halfway through its answer.
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 500 Error\r\nContent-Length: 10\r\n\r\nhalf",
+        b"HTTP/1.1 500 Error\r\nContent-Length: x\r\n\r\n",
+        b"\x00\x01 no answer at all\r\n\r\n",
+    ],
+    ids=["incomplete", "invalid length", "not HTTP"],
+)
+def test_a_key_pauses_after_a_call_whose_answer_cannot_be_used(tmp_path, response):
+    async def scenario():
+        stalled = asyncio.get_running_loop().create_future()
+        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
+
+        class StallingReceiver(KeyedReceiver):
+            async def serve(self, reader, writer):
+                if self.begun:
+                    return await super().serve(reader, writer)
+                await reader.readuntil(b"\r\n\r\nbody")
+                self.begun["first"] = asyncio.get_running_loop().time()
+                writer.write(response)
+                await stalled  # its work goes on, until the sender gives up
+
+        async with (
+            StallingReceiver((200, [], b"")) as receiver,
+            keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client),
+        ):
+            ends = CallEnds(node)
+            await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
+            ended_at = await ends.of("first")
+            await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(ended_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
+
+
+# Guards against the same when the answer belongs to another call on that connection, and its own never came.
+def test_a_key_pauses_after_a_call_that_got_the_answer_of_another_one(tmp_path):
+    async def scenario():
+        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
+        async with (
+            KeyedReceiver((200, [("X-Call-Id", "warm")], b"")) as receiver,
+            keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client),
+        ):
+            ends = CallEnds(node)
+            await submit(client, ("warm", "safe", 20000, "0" * 16))
+            receivers = node.calls.receivers
+            await wait_until(lambda: receivers.idle and receivers.by_number[1].idle[0].out_of_quarantine)
+            await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
+            ended_at = await ends.of("first")
+            assert (await discovery.next_notification())["message"] == "first"
+            await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(ended_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
+
+
 # Guards against the same over AMQP: a publish whose confirm is still awaited by its call when its deadline passes.
 @pytest.mark.parametrize("end", ["confirmed", "broken off"])
 def test_a_key_pauses_from_the_end_of_a_publish_that_outlasted_its_message(tmp_path, end, monkeypatch):
@@ -192,3 +252,18 @@
                     assert call.open  # another publish's lost confirm holds up no key
 
     run_with_timeout(scenario())
+
+
+def test_a_publish_without_confirm_is_an_outcome_after_which_keys_pause():
+    from rainpier.carriers.amqp.outcomes import OUTCOME_BY_RESULT, PublishResult
+    from rainpier.node.key_pauses import UNANSWERED_OUTCOMES
+
+    unanswered = {result for result, outcome in OUTCOME_BY_RESULT.items() if outcome in UNANSWERED_OUTCOMES}
+    assert unanswered == {
+        PublishResult.CHANNEL_CLOSED,
+        PublishResult.CONNECTION_CLOSED,
+        PublishResult.CONNECTION_LOST,
+        PublishResult.CONFIRM_TIMEOUT,
+        PublishResult.CANCELLED,
+    }
+    assert Outcome.ERROR not in UNANSWERED_OUTCOMES
