End one message of a call early at its deadline only, not at a shorter time-out

The policy then tried it again while its call was open; the node refused each attempt ('may not be sent now') and each was counted, and a delivery in the call's answer no longer counted.

Cause: InFlightCalls.send set the timer to Send.timeout, although expire and its comment speak of the deadline. Until the call has ended there is nothing to report: the message can't be sent again, and its key is held.

Change: the timer follows the deadline (schedule_expiry), as long before it as the policy's own time-outs end.

--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -20,6 +20,7 @@
 from .retry_after import RetryAfterDeadlines
 
 log = logging.getLogger(__name__)
+EXPIRY_LEAD_TICKS = 2  # before a deadline: the policy decides in a later round, at most a tick after
 LOGGED_OUTCOMES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 
 
@@ -105,12 +106,19 @@
             for entry in entries:
                 entry.attempts += 1
                 self.by_message[entry.number] = call
-                timeout = timeouts[entry.number]
-                # Ends only this message's attempt at its deadline; the call goes on for the others.
-                if timeout < longest and entry.deadline < call.deadline * 1000 + self.core.epoch:
-                    self.core.loop.call_later(timeout / 1000, self.expire, call, entry)
+                self.schedule_expiry(call, entry)
             self.receivers.start(call)
 
+    def schedule_expiry(self, call: Call, entry: Entry) -> None:
+        """Lets the attempt of a message expire shortly before its deadline, if its call may go on then.
+
+        Not at a shorter time-out of its own: the message can't be sent again before the call has ended.
+        """
+        if entry.deadline < call.deadline * 1000 + self.core.epoch:
+            lead = EXPIRY_LEAD_TICKS * self.core.settings.tick
+            delay = max(0.0, entry.deadline - lead - self.core.now)
+            self.core.loop.call_later(delay / 1000, self.expire, call, entry)
+
     # --- before the first byte ---
 
     def may_begin(self, entry: Entry, endpoint: i.EndpointEntry) -> bool:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -234,6 +234,42 @@
     run_with_timeout(scenario())
 
 
+# Guards against attempts that are spent while a message's call is open: its own time-out ended before its deadline.
+def test_a_message_of_a_batch_is_not_tried_again_while_its_call_is_open(tmp_path, caplog):
+    async def scenario():
+        gate = asyncio.get_running_loop().create_future()
+        async with HttpServer(lambda request, body: gate) as receiver, DiscoveryServer() as discovery:
+            discovery.endpoints = [endpoint_entry("r1", receiver.address, kind="bulk")]
+            async with sender(tmp_path, discovery) as node, RespClient(node.port) as client:
+                handle = node.sender.handle
+
+                def shorten_one_timeout(now, events):
+                    """Gives the first message a time-out of 100 ms, as of a class whose calls are quick."""
+                    actions = handle(now, events)
+                    return [
+                        i.Send(a.message, a.endpoint, 100.0)
+                        if isinstance(a, i.Send) and a.message == 1
+                        else a
+                        for a in actions
+                    ]
+
+                node.sender.handle = shorten_one_timeout
+                for name, d in (("quick", 1800), ("long", 20000)):
+                    client.writer.write(encode_submission(name, deadline_ms=d))
+                assert [await client.read_reply(), await client.read_reply()] == ["OK", "OK"]
+                assert (await receiver.next_request())[0].endswith(":batch")
+                await asyncio.sleep(1.0)  # longer than its time-out and the wait before another attempt
+                assert [entry.attempts for entry in node.store.entries.values()] == [1, 1]
+                gate.set_result(
+                    (200, [], b'[{"id":"quick","state":"delivered"},{"id":"long","state":"delivered"}]')
+                )
+                await wait_until(lambda: not node.store.entries)
+                assert discovery.notifications.empty()
+
+    run_with_timeout(scenario())
+    assert "may not be sent now" not in caplog.text
+
+
 def test_the_first_message_of_a_batch_is_the_one_with_the_latest_deadline(tmp_path):
     """Otherwise a receiver that hung takes all for expired once the first message's deadline has passed."""
 
