Record the pause of a key in the store, so that it outlasts the process

What a receiver could see: a call without an answer ends, or is open, when the sender is killed or stopped; the next process sends the key's next message at once, beside the older one.

Cause: the policy alone knew the pause. The next process paused a key only where its store showed an attempt without an outcome and no final status. It did not where the message's outcome had been reported while its call went on, whether its client had been notified or not; where a message with a final status still had an open call; where the call had ended just before; and after a second restart in a row.

Change: KEY_PAUSE records with the end of the call and the pause, written by node/key_pauses.py only for calls without an answer and only where turn_gap is set. A call that outlasts its message is recorded with the time by which it ends; a start counts from the earlier of that and of itself. Records follow compaction, a clock set back, and wait for room as other mandatory ones. Format 5: 1 to 4 are read, earlier programs refuse it.

--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -254,6 +254,7 @@
             if not call.attempt.begun:
                 return self.remove_from_call(call, entry)
             call.completed.add(entry.number)
+            self.key_pauses.expect(entry, call.deadline)
             self.store.record_outcomes([(entry, i.Outcome.TIMEOUT)])
             attempt = call.attempts[call.entries.index(entry)]
             self.end_attempt(call, entry, attempt, i.Outcome.TIMEOUT, False, CallResult([]))
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -94,6 +94,7 @@
                 await asyncio.wait_for(self.source.complete.wait(), FIRST_UPDATE_TIMEOUT_S)
                 await updates.wait_until_applied()
         self.calls.report_store_state()
+        self.calls.key_pauses.restore()
         updates.in_slices = True  # messages are processed from now on; a large update must not delay them
         for entry in list(self.store.entries.values()):
             self.resume(entry)
@@ -105,13 +106,14 @@
 
         The policy is told of it (Resumed), unless its class is no longer configured.
         """
+        interrupted = entry.begun > 0
+        if interrupted:  # an attempt without an outcome counts as a connection reset: it may have run
+            self.store.record_outcomes([(entry, i.Outcome.RESET)])
+            self.calls.key_pauses.begin(entry)
         self.completions.resume(entry)
         cls = self.core.classes.get(entry.cls)
         if cls is None:
             return
-        interrupted = entry.begun > 0
-        if interrupted:  # an attempt without an outcome counts as a connection reset: it may have run
-            self.store.record_outcomes([(entry, i.Outcome.RESET)])
         tenant = self.core.tenants.get(entry.tenant, i.NO_TENANT)
         arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key, tenant)
         risky_at = entry.risky_at or math.inf
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -22,9 +22,9 @@
 from .clock import BOOT_ID_SIZE, ClockAnchor, ClockReading
 from .entry import Entry
 
-MAGIC, VERSION = b"RPSTORE\n", 4
-# Version 2 added reply queues to messages, version 3 tenants, and version 4 CLOCK records.
-READABLE_VERSIONS = (1, 2, 3, 4)
+MAGIC, VERSION = b"RPSTORE\n", 5
+# Version 2 added reply queues to messages, 3 tenants, 4 CLOCK records, and 5 KEY_PAUSE records.
+READABLE_VERSIONS = (1, 2, 3, 4, 5)
 HEADER, FRAME = struct.Struct("<8sHHIQI"), struct.Struct("<III")
 CRC, FRAME_REST = struct.Struct("<I"), struct.Struct("<II")
 HEADER_SIZE = HEADER.size + CRC.size
@@ -44,6 +44,7 @@
 #   UPGRADED   bytes, CRC-32
 #   BIND       class version; then message numbers
 #   CLOCK      the timeline's time, the monotonic clock in ms, the boot id
+#   KEY_PAUSE  ordering key, end of the call, pause in ms
 # NEXT is a U64, OVER a list of them, and NAMES a JSON object.
 MESSAGE, PROGRESS, U64 = struct.Struct("<QdIHBBB"), struct.Struct("<IdHdHBI"), struct.Struct("<Q")
 BEGIN, BEGUN, RESULT = struct.Struct("<dH"), struct.Struct("<QI"), struct.Struct("<QB")
@@ -55,6 +56,7 @@
 )
 START, UPGRADED, BIND = struct.Struct("<Qd"), struct.Struct("<QI"), struct.Struct("<H")
 CLOCK = struct.Struct(f"<dd{BOOT_ID_SIZE}s")
+KEY_PAUSE = struct.Struct("<Qdd")
 # Flags of a MESSAGE record: its id and its token are hexadecimal digits, packed two to a byte; it has an
 # ordering key, a PROGRESS, a reply queue, a tenant.
 HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT = 1, 2, 4, 8, 16, 32
@@ -81,6 +83,7 @@
     START = 13  # a process started, and when
     UPGRADED = 14  # size and checksum of the journal of 0.1.0 that this segment was converted from
     CLOCK = 15  # the timeline's time at a reading of the monotonic clock
+    KEY_PAUSE = 16  # a call that may still be running ended, or goes on; its key pauses from its end
 
 
 class Unreadable(ValueError):
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -20,6 +20,22 @@
 CLOCK_TOLERANCE_MS = 1000.0  # a clock this far behind the last record does not count as set back
 
 
+@dataclass(slots=True, frozen=True)
+class KeyPause:
+    """Pause of an ordering key after a call that may still be running at its receiver.
+
+    `call_end`: when the call ended, or by when it ends at the latest, Unix ms; `duration`: ms from then on.
+    """
+
+    call_end: float
+    duration: float
+
+    @property
+    def until(self) -> float:
+        """The end of the pause, Unix ms."""
+        return self.call_end + self.duration
+
+
 @dataclass
 class State:
     """Everything that the store keeps, and for each part the segment that holds its record."""
@@ -33,6 +49,7 @@
     numbers_by_destination_id: dict[int, int] = field(default_factory=dict)
     retry_after: dict[str, float] = field(default_factory=dict)  # retry-after deadlines by route, Unix ms
     outages: dict[str, float] = field(default_factory=dict)  # by route: when last observed, Unix ms
+    key_pauses: dict[int, KeyPause] = field(default_factory=dict)  # by ordering key, the oldest record first
     next_number: int = 1  # for the next message
     start_count: int = 0  # processes that have used this store
     latest_time: float = 0.0  # latest time in any record, Unix ms
@@ -48,7 +65,8 @@
     guarded_ids: dict[str, None] = field(default_factory=dict)
     max_completed_ids: int = 10_000  # limit for repeatable_ids: the latest are kept
     max_guarded_ids: int = 20_000  # limit for guarded_ids: the latest are kept
-    max_routes: int = 4096  # limit for retry-after deadlines and for outages: the latest are kept
+    # Limit for retry-after deadlines, for outages and for pauses of keys: the latest are kept.
+    max_routes: int = 4096
     clock_rollback_ms: float = 0.0  # total by which the clock was set back
 
     def class_number(self, terms: ClassTerms) -> int | None:
@@ -233,6 +251,23 @@
         if len(times) > self.max_routes:
             del times[next(iter(times))]
 
+    def on_key_pause(self, data: bytes, segment: int, seq: int) -> None:
+        """Sets the pause of an ordering key."""
+        key, call_end, duration = codec.KEY_PAUSE.unpack(data)
+        self.set_key_pause(key, KeyPause(call_end, duration))
+
+    def set_key_pause(self, key: int, pause: KeyPause) -> None:
+        """Sets a key's pause. Drops those that are over, and the one set longest ago beyond the limit."""
+        pauses = self.key_pauses
+        pauses.pop(key, None)
+        pauses[key] = pause
+        while pauses and self.is_droppable(oldest := next(iter(pauses))):
+            del pauses[oldest]
+
+    def is_droppable(self, key: int) -> bool:
+        """Whether the pause of this key is over, or there are more pauses than are kept."""
+        return self.key_pauses[key].until <= self.latest_time or len(self.key_pauses) > self.max_routes
+
     def on_start(self, data: bytes, segment: int, seq: int) -> None:
         """Notes the start of a process and its time."""
         start_count, time = codec.START.unpack(data)
@@ -263,6 +298,9 @@
                 entry.begun = UNKNOWN_TIME
         self.retry_after = {route: until - rollback for route, until in self.retry_after.items()}
         self.outages = dict.fromkeys(self.outages, now)
+        self.key_pauses = {
+            key: KeyPause(pause.call_end - rollback, pause.duration) for key, pause in self.key_pauses.items()
+        }
 
     def on_clock(self, data: bytes, segment: int, seq: int) -> None:
         """Sets the clock anchor."""
@@ -276,5 +314,5 @@
         Kind.CLASS: on_class, Kind.MESSAGE: on_message, Kind.BEGIN: on_begin, Kind.RESULT: on_result,
         Kind.END: on_end, Kind.OVER: on_over, Kind.SEEN: on_seen, Kind.NEXT: on_next, Kind.NAMES: on_names,
         Kind.BIND: on_bind, Kind.WAIT: on_wait, Kind.OUTAGE: on_outage, Kind.START: on_start,
-        Kind.UPGRADED: on_upgraded, Kind.CLOCK: on_clock,
+        Kind.UPGRADED: on_upgraded, Kind.CLOCK: on_clock, Kind.KEY_PAUSE: on_key_pause,
     }  # fmt: skip
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -27,7 +27,7 @@
 from .files import Files
 from .records import Kind, SegmentHeader
 from .recovery import Index, Recovered, affected_messages, encode_index, recover, segment_name, segment_number
-from .state import State
+from .state import KeyPause, State
 
 log = logging.getLogger(__name__)
 BLOCK_SIZE = 512  # bytes; each file's size counts rounded up to this
@@ -411,6 +411,9 @@
             if t > now
         ]
         records += [(Kind.OUTAGE, codec.TIME.pack(t) + route.encode()) for route, t in state.outages.items()]
+        records += [
+            self.key_pause_record(key, pause) for key, pause in state.key_pauses.items() if pause.until > now
+        ]
         return records
 
     def snapshot_records(self) -> list[tuple[int, bytes]]:
@@ -798,6 +801,16 @@
             else:
                 self.state.outages.pop(route, None)
 
+    def record_key_pause(self, key: int, pause: KeyPause) -> None:
+        """Records the pause of an ordering key, in place of an earlier one of that key."""
+        self.state.set_key_pause(key, pause)
+        self.write_or_defer([self.key_pause_record(key, pause)])
+
+    @staticmethod
+    def key_pause_record(key: int, pause: KeyPause) -> tuple[int, bytes]:
+        """Encodes the KEY_PAUSE record of a key."""
+        return Kind.KEY_PAUSE, codec.KEY_PAUSE.pack(key, pause.call_end, pause.duration)
+
     # --- compaction ---
 
     def reclaim(self, now: float) -> None:
--- a/rainpier/store/tool.py
+++ b/rainpier/store/tool.py
@@ -52,6 +52,7 @@
         "may_have_run": sum(e.risky_at > 0 for e in state.entries.values()),
         "ended_untold": sum(bool(e.end) for e in state.entries.values()),
         "ids_remembered": len(state.completed_until), "waits": state.retry_after, "outages": state.outages,
+        "key_pauses": len(state.key_pauses),
         "destinations": state.destination_numbers, "next_message": state.next_number,
         "next_record": found.next_seq,
         "findings": len(found.findings), "damaged": found.harm,
@@ -106,6 +107,8 @@
             return dict(zip(("start", "time"), codec.START.unpack(data), strict=True))
         case codec.Kind.WAIT | codec.Kind.OUTAGE:
             return {"time": codec.TIME.unpack_from(data)[0], "route": data[codec.TIME.size :].decode()}
+        case codec.Kind.KEY_PAUSE:
+            return dict(zip(("key", "call_end", "duration"), codec.KEY_PAUSE.unpack(data), strict=True))
         case codec.Kind.NAMES:
             return {"names": json.loads(data)}
     return {}
--- a/tests/test_key_pauses.py
+++ b/tests/test_key_pauses.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from types import SimpleNamespace
 
 import pytest
 from peers import (
@@ -20,7 +21,10 @@
 from test_node import sender
 
 from rainpier import policy
-from rainpier.interface import Outcome
+from rainpier.carriers.amqp.outcomes import OUTCOME_BY_RESULT, PublishResult
+from rainpier.interface import KeyPaused, Outcome
+from rainpier.node.key_pauses import UNANSWERED_OUTCOMES, KeyPauses
+from rainpier.store.state import KeyPause, State
 
 GAP_MS, LONGER_THAN_GAP_S = 400.0, 0.5
 RULES = {"drain-grace": 500.0, "turn-gap": GAP_MS}
@@ -254,10 +258,106 @@
     run_with_timeout(scenario())
 
 
-def test_a_publish_without_confirm_is_an_outcome_after_which_keys_pause():
-    from rainpier.carriers.amqp.outcomes import OUTCOME_BY_RESULT, PublishResult
-    from rainpier.node.key_pauses import UNANSWERED_OUTCOMES
+# --- restarts ---
+
+
+# Guards against a pause that is forgotten with the process: a call was open whose message had ended before.
+@pytest.mark.parametrize("notified", [True, False])
+def test_a_key_pauses_after_a_restart_that_ends_a_call_which_outlasted_its_message(tmp_path, notified):
+    async def scenario():
+        never = asyncio.get_running_loop().create_future()
+        async with KeyedReceiver(never) as receiver:
+            async with keyed_sender(tmp_path, receiver) as (node, discovery, client):
+                discovery.notifications_to_reject = 0 if notified else 1000
+                await submit(
+                    client,
+                    ("first", "keyed", 600, KEY),
+                    ("other", "unsafe", 20000, "0" * 16),
+                    ("second", "keyed", 20000, KEY),
+                )
+                number = node.store.numbers["first"]
+                first = node.store.entries[number]
+                await wait_until(lambda: first.end and (number in node.store.entries) is not notified)
+                assert len(node.calls.receivers.calls) == 1
+            closed_at = asyncio.get_running_loop().time()
+            async with keyed_sender(tmp_path, receiver):
+                await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(closed_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
+
+
+# Guards against a pause that is forgotten with the process: the call had ended before.
+def test_a_key_pauses_over_a_restart_from_the_end_of_its_call(tmp_path):
+    async def scenario():
+        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
+        async with KeyedReceiver(None) as receiver:
+            async with keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client):
+                ends = CallEnds(node)
+                await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
+                ended_at = await ends.of("first")
+                await wait_until(lambda: len(node.store.entries) == 1)
+            async with keyed_sender(tmp_path, receiver, "single", **limits):
+                await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(ended_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
+
+
+# Guards against a pause that lasts over one restart only: the first one had ended the call.
+def test_a_key_pauses_over_two_restarts_in_a_row(tmp_path):
+    async def scenario():
+        never = asyncio.get_running_loop().create_future()
+        async with KeyedReceiver(never) as receiver:
+            async with keyed_sender(tmp_path, receiver, "single") as (node, discovery, client):
+                await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
+                await wait_until(lambda: "first" in receiver.begun)
+            async with keyed_sender(tmp_path, receiver, "single"):
+                ended_at = (
+                    asyncio.get_running_loop().time()
+                )  # what the second process takes for the call's end
+            receiver.first_response = (200, [], b"")
+            async with keyed_sender(tmp_path, receiver, "single"):
+                await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(ended_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
 
+
+# Guards against a restart that forgets an open call since its message has a final status already.
+def test_a_key_pauses_after_a_restart_that_ends_the_call_of_a_message_with_a_final_status(tmp_path):
+    async def scenario():
+        never = asyncio.get_running_loop().create_future()
+        async with KeyedReceiver(never) as receiver:
+            async with keyed_sender(tmp_path, receiver, "single") as (node, discovery, client):
+                discovery.notifications_to_reject = 1000
+                await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
+                await wait_until(lambda: "first" in receiver.begun)
+                node.completions.finalize(node.store.entries[1], "given_up", 0)
+            closed_at = asyncio.get_running_loop().time()
+            async with keyed_sender(tmp_path, receiver, "single"):
+                await wait_until(lambda: "second" in receiver.begun)
+            assert_paused(closed_at, receiver.begun["second"])
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize(
+    ("call_end", "left"),
+    [(-100.0, 300.0), (-399.0, 1.0), (-400.0, None), (-9000.0, None), (0.0, 400.0), (5000.0, 400.0)],
+)
+def test_a_restored_pause_counts_from_the_end_of_its_call_or_from_the_restart_if_that_came_first(
+    call_end, left
+):
+    """`call_end` is relative to the restart, which ends the calls of the process before."""
+    state, events, now = State(), [], 1_000_000.0
+    state.set_key_pause(42, KeyPause(now + call_end, GAP_MS))
+    core = SimpleNamespace(now=now, store=SimpleNamespace(state=state), push=events.append)
+    KeyPauses(core).restore()
+    assert events == ([KeyPaused(42, left)] if left else [])
+
+
+def test_a_publish_without_confirm_is_an_outcome_after_which_keys_pause():
     unanswered = {result for result, outcome in OUTCOME_BY_RESULT.items() if outcome in UNANSWERED_OUTCOMES}
     assert unanswered == {
         PublishResult.CHANNEL_CLOSED,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -116,6 +116,42 @@
     run_with_timeout(scenario())
 
 
+# Guards against a key's next message that goes at once after a kill: the call of the one before was still open.
+def test_a_key_pauses_after_a_kill_that_ends_a_call_whose_message_had_ended(tmp_path):
+    async def scenario():
+        gap_s, never, begun = 2.0, asyncio.get_running_loop().create_future(), {}
+
+        def respond(request, body):
+            begun.setdefault(b"second" in body, asyncio.get_running_loop().time())
+            return (200, [], b"") if b"second" in body else never
+
+        rules = {"drain-grace": 500.0, "turn-gap": gap_s * 1000}
+        async with HttpServer(respond) as receiver, DiscoveryServer() as discovery:
+            discovery.endpoints = [endpoint_entry("r1", receiver.address, kind="bulk")]
+            async with Process(tmp_path, discovery, rules=rules) as first, RespClient(first.port) as client:
+                for name, cls, lifetime_ms in (
+                    ("first", "keyed", 600),
+                    ("other", "unsafe", 20000),
+                    ("second", "keyed", 20000),
+                ):
+                    key = "0" if cls == "unsafe" else "7"
+                    client.writer.write(
+                        encode_submission(
+                            name, cls, lifetime_ms, key=key, body=name.encode(), extra_fields=f",k={name}"
+                        )
+                    )
+                assert [await client.read_reply() for _ in range(3)] == ["OK"] * 3
+                assert (await discovery.next_notification())["message"] == "first"
+                assert (await receiver.next_request())[0].endswith(":batch")
+                await first.kill()
+            killed_at = asyncio.get_running_loop().time()
+            async with Process(tmp_path, discovery, rules=rules):
+                assert (await receiver.next_request())[2] == b"second"
+            assert begun[True] - killed_at >= gap_s
+
+    run_with_timeout(scenario())
+
+
 def test_keyed_message_is_not_resent_after_its_repeat_window(tmp_path):
     """The receiver may have forgotten the key during the restart: a second call would take effect again."""
 
