Record a key's pause also where an overdue message is given up in a call

What a receiver could see: the periodic check gives up a message whose call is open, its client acknowledges that, and the process is killed: the next one sends the key's next message at once.

--- a/rainpier/node/completions.py
+++ b/rainpier/node/completions.py
@@ -38,6 +38,8 @@
         self.pending_replies: Counter[str] = Counter()  # by reply queue: completions still to be sent to it
         # called with each message that names a reply queue, and its final status
         self.reply_listener: Callable[[Entry, str], None] | None = None
+        # called with each message that is given up while its call is open
+        self.on_overdue_in_flight: Callable[[Entry], None] = lambda entry: None
 
     # --- stored messages ---
 
@@ -184,5 +186,7 @@
                 "message %s given up: not completed %.0f ms after its deadline", entry.id, OVERDUE_GRACE_MS
             )
             self.core.push(i.Withdrawn(entry.number))
+            if entry.number in self.in_flight:
+                self.on_overdue_in_flight(entry)
             self.finalize(entry, GIVEN_UP, 0)
         self.notify_unrecorded()
--- a/tests/test_key_pauses.py
+++ b/tests/test_key_pauses.py
@@ -325,15 +325,19 @@
 
 
 # Guards against a restart that forgets an open call since its message has a final status already.
-def test_a_key_pauses_after_a_restart_that_ends_the_call_of_a_message_with_a_final_status(tmp_path):
+@pytest.mark.parametrize("notified", [True, False])
+def test_a_key_pauses_after_a_restart_that_ends_the_call_of_an_overdue_message(tmp_path, notified):
     async def scenario():
         never = asyncio.get_running_loop().create_future()
         async with KeyedReceiver(never) as receiver:
             async with keyed_sender(tmp_path, receiver, "single") as (node, discovery, client):
-                discovery.notifications_to_reject = 1000
+                discovery.notifications_to_reject = 0 if notified else 1000
                 await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
                 await wait_until(lambda: "first" in receiver.begun)
-                node.completions.finalize(node.store.entries[1], "given_up", 0)
+                node.completions.overdue.set(1, 0.0)
+                node.completions.expire_overdue()
+                await wait_until(lambda: (1 in node.store.entries) is not notified)
+                assert 1 in node.calls.by_message
             closed_at = asyncio.get_running_loop().time()
             async with keyed_sender(tmp_path, receiver, "single"):
                 await wait_until(lambda: "second" in receiver.begun)
