Hold a key until the notification of an overdue message is answered

What a receiver could see: the periodic check gives up an overdue message on which the policy had not decided; the key's next message goes before the platform has answered the notification. By PROTOCOL 'a message that ends by a notice is over when the notice is answered'.

Cause: Withdrawn released the key at once, or with the end of the attempt, and did not wait for EndAnswered, which the node sends when the notification is answered.

Change: with Settings.ends_answered a withdrawn message holds its key until EndAnswered. The node sends it also when the call ends after the answer, and for submissions that the store had no room for. An expired message of a call of several stays in flight without being taken out and put back (report_outcome).

The naive policy has the same rule and agrees in all plays of test_same.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -261,7 +261,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Withdrawn:
-    """A message needs no delivery any more: withdrawn, not accepted, or completed by the node itself."""
+    """A message needs no delivery any more: withdrawn, not accepted, or completed by the node itself.
+
+    With Settings.ends_answered its key stays blocked until EndAnswered, which follows.
+    """
 
     message: int
 
--- a/rainpier/node/admission.py
+++ b/rainpier/node/admission.py
@@ -182,7 +182,7 @@
             reason = "not_recorded"
             push(i.Withdrawn(entry.number))
         self.record_refusal(entry.id, entry.cls, self.core.destination_number(entry.destination), reason)
-        if decision is not None and entry.key:  # the policy blocks the key until then
+        if entry.key:  # the policy blocks the key until then
             push(i.EndAnswered(entry.number, entry.key))
         self.set_result(pending, result)
 
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -258,9 +258,8 @@
             self.expect_pause(entry)
             self.store.record_outcomes([(entry, i.Outcome.TIMEOUT)])
             attempt = call.attempts[call.entries.index(entry)]
-            self.end_attempt(call, entry, attempt, i.Outcome.TIMEOUT, False, CallResult([]))
-            # Stays in flight until the call ends (`release`): only then does the pause of its key begin.
-            self.by_message[entry.number] = call
+            # It stays in flight until the call ends (`release`): only then does the pause of its key begin.
+            self.report_outcome(call, entry, attempt, i.Outcome.TIMEOUT, False, CallResult([]))
 
     def expect_pause(self, entry: Entry) -> None:
         """Records that the call of a message may outlast it, and with it the pause of its key."""
@@ -269,11 +268,19 @@
     def end_attempt(
         self, call: Call, entry: Entry, attempt: int, outcome: i.Outcome, closed: bool, result: CallResult
     ) -> None:
-        """Ends an attempt: counts and logs its outcome, and reports it to the policy.
+        """Ends an attempt whose call, or whose part of it, has ended; the arguments are report_outcome's."""
+        self.by_message.pop(entry.number, None)
+        self.report_outcome(call, entry, attempt, outcome, closed, result)
+        if entry.end:  # its final status was decided and maybe acknowledged while the call was open
+            self.completions.release_key(entry)
+
+    def report_outcome(
+        self, call: Call, entry: Entry, attempt: int, outcome: i.Outcome, closed: bool, result: CallResult
+    ) -> None:
+        """Counts and logs the outcome of an attempt, and reports it to the policy.
 
         `closed`: the message is complete and needs no further attempt.
         """
-        self.by_message.pop(entry.number, None)
         fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.name,
                   "connection": call.connection, "use": call.uses, "call_open": call.open}  # fmt: skip
         record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -719,7 +719,7 @@
             i.Stalled: self.on_stalled,
             i.EndAnswered: lambda event: self.leave_key_queue(event.key, event.message),
             i.KeyPaused: lambda event: self.pause_key(event.key, event.duration),
-            i.Withdrawn: lambda event: self.complete(event.message),
+            i.Withdrawn: self.on_withdrawn,
         }
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -1061,6 +1061,10 @@
                 if state.guaranteed_rate and not state.in_slow_start(self.now):
                     state.slow_start_at = self.now
 
+    def on_withdrawn(self, event: i.Withdrawn) -> None:
+        """Drops a message; its key waits for EndAnswered, or else for the end of its attempt."""
+        self.complete(event.message, acknowledged=not self.settings.ends_answered)
+
     def on_stalled(self, event: i.Stalled) -> None:
         """Stops sending while attempts cannot be recorded: each one counts towards Settings.max_attempts."""
         self.stalled = event.on
@@ -1187,8 +1191,8 @@
         if key and outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             self.pause_key(key, self.settings.turn_gap)
         message = self.messages.get(event.message)
-        if message is None:
-            return self.leave_key_queue(key, event.message)
+        if message is None:  # withdrawn meanwhile
+            return None if self.settings.ends_answered else self.leave_key_queue(key, event.message)
         message.in_flight = False
         if outcome is Outcome.OK or event.closed:
             return self.complete(message.id)
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -245,7 +245,7 @@
             i.Remembered: self.on_remembered,
             i.EndAnswered: lambda event: self.leave_key_queue(event.key, event.message),
             i.KeyPaused: lambda event: self.pause_key(event.key, event.duration),
-            i.Withdrawn: lambda event: self.complete(event.message),
+            i.Withdrawn: lambda event: self.complete(event.message, not settings.ends_answered),
         }
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -518,7 +518,7 @@
             self.pause_key(key, self.settings.turn_gap)
         message = self.messages.get(event.message)
         if message is None:
-            return self.leave_key_queue(key, event.message)
+            return None if self.settings.ends_answered else self.leave_key_queue(key, event.message)
         message.in_flight = False
         if outcome is Outcome.OK or event.closed:
             return self.complete(message.id)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -231,6 +231,21 @@
     assert ended_at + 300.0 < sent_at < ended_at + 350.0
 
 
+@pytest.mark.parametrize("in_flight", [True, False])
+def test_a_key_waits_for_the_acknowledgement_of_a_withdrawn_message(in_flight):
+    rig = Rig(ends_answered=True, turn_gap=0.0)
+    rig.arrive(1, cls=3, key=5)
+    rig.arrive(2, cls=3, key=5)
+    if in_flight:
+        rig.do(i.Withdrawn(1))
+        rig.result(1, i.Outcome.ERROR)
+    else:
+        rig.result(1, i.Outcome.ERROR)
+        rig.do(i.Withdrawn(1))
+    assert sends(a for _, a in rig.run(1000)) == []
+    assert sends(rig.do(i.EndAnswered(1, 5))) == [2]
+
+
 @pytest.mark.parametrize("change", [
     i.ListChange(i.ListKind.DELTA, (i.EndpointEntry(7, 1, condition=i.Condition.DRAINING),)),
     i.ListChange(i.ListKind.DELTA, (i.EndpointEntry(7, 1, condition=i.Condition.GONE),)),
--- a/tests/test_same.py
+++ b/tests/test_same.py
@@ -116,6 +116,7 @@
             found.append(self.list_event())
         if self.rng.random() < 0.01 and self.arrivals:
             found.append(i.Withdrawn(self.rng.choice(list(self.arrivals))))
+            self.await_acknowledgement(found[-1].message)
         while self.unacknowledged and self.rng.random() < 0.7:
             found.append(i.EndAnswered(*self.unacknowledged.pop(0)))
         return found
@@ -135,10 +136,14 @@
                 self.attempts[action.message] = attempt + 1
                 self.in_flight[action.message, attempt] = (action.endpoint, self.now)
                 self.sent += 1
-            elif isinstance(action, i.Refuse | i.Fail) and self.settings.ends_answered:
-                arrival = self.arrivals[action.message]
-                if arrival.key and CLASSES[arrival.cls].in_order:
-                    self.unacknowledged.append((action.message, arrival.key))
+            elif isinstance(action, i.Refuse | i.Fail):
+                self.await_acknowledgement(action.message)
+
+    def await_acknowledgement(self, message):
+        """Adds a message that has its final status to those that EndAnswered follows for, if it has a key."""
+        arrival = self.arrivals[message]
+        if self.settings.ends_answered and arrival.key and CLASSES[arrival.cls].in_order:
+            self.unacknowledged.append((message, arrival.key))
 
     @staticmethod
     def comparable(actions):
