--- a/rainpier/observe/blame.py
+++ b/rainpier/observe/blame.py
@@ -41,10 +41,9 @@
     """
     if message.in_flight:
         return IN_FLIGHT
-    key_queue = sender.key_queues.get(message.key)
-    if message.key and (
-        key_queue and key_queue[0] != message.id or sender.key_paused_until.get(message.key, 0.0) > now
-    ):
+    head = sender.key_queues.head(message.key)
+    behind_another = head is not None and head != message.id
+    if message.key and (behind_another or sender.key_queues.pause_end(message.key) > now):
         return KEY_ORDER
     states = sender.states.get(message.destination)
     if not states:
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -20,12 +20,13 @@
 import heapq
 import math
 import random
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import replace
 
 from . import interface as i
 from .backlog import BASE_RETRY_WAIT_MS, Backlog, LeastWorth, Message
 from .interface import Outcome
+from .key_queues import KeyQueues
 from .structures.kinetic import RELATIVE_TOLERANCE, Kinetic, Line
 from .structures.schedule import Schedule
 
@@ -665,11 +666,7 @@
         # Endpoints (True) and destinations (False) that forget_departed has yet to check, the next one last.
         self.forget_queue: list[tuple[bool, int]] = []
         self.backlogs: dict[int, Backlog] = {}  # by destination: messages not in flight
-        self.key_queues: dict[int, deque[int]] = {}  # by key: messages in the order of their acceptance
-        self.queued_messages: set[int] = set()  # messages that still hold a place in a per-key queue
-        self.queue_lengths: Counter[int] = Counter()  # by key: number of those
-        self.key_paused_until: dict[int, float] = {}  # by key: when the next message may be sent
-        self.key_pause_ends: Schedule[int] = Schedule()
+        self.key_queues = KeyQueues()
         self.least_worth: LeastWorth | None = None  # None: not so many messages that one may be evicted
         self.equal_classes: dict[i.MessageClass, i.MessageClass] = {}  # see canonical_class
         # Mean ms of a successful call of one message, by class; None: none yet.
@@ -930,9 +927,7 @@
         worth = cls.worth * self.tenant_share(event.tenant)
         message = self.messages[event.message] = Message(event, cls, worth, self.accepted_count)
         if message.key:
-            self.key_queues.setdefault(message.key, deque()).append(message.id)
-            self.queued_messages.add(message.id)
-            self.queue_lengths[message.key] += 1
+            self.key_queues.append(message.key, message.id)
         self.deadlines.set(message.id, message.deadline - DEADLINE_MARGIN_MS)
         self.activate(message.destination)
         return message
@@ -957,21 +952,19 @@
 
     def schedule(self, message: Message, backlog: Backlog) -> None:
         """Updates when a message may be sent: after others in its per-key queue, after a wait, or now."""
-        if message.key and self.key_queues[message.key][0] != message.id:
+        if message.key and self.key_queues.head(message.key) != message.id:
             return backlog.unschedule(message)
-        paused_until = 0.0 if message.attempts else self.key_paused_until.get(message.key, 0.0)
+        paused_until = 0.0 if message.attempts else self.key_queues.pause_end(message.key)
         at = max(message.not_before, paused_until)
         backlog.schedule(message, at if at > self.now else -math.inf)
 
     def on_resumed(self, event: i.Resumed) -> None:
         """Resumes a message that an earlier process accepted; an attempt of it may have taken effect."""
-        if event.arrival.message in self.messages or event.arrival.message in self.queued_messages:
+        if event.arrival.message in self.messages or event.arrival.message in self.key_queues:
             return
         if event.ended:  # it only holds its place in its per-key queue until EndAnswered
             if event.arrival.key and self.settings.classes[event.arrival.cls].in_order:
-                self.key_queues.setdefault(event.arrival.key, deque()).append(event.arrival.message)
-                self.queued_messages.add(event.arrival.message)
-                self.queue_lengths[event.arrival.key] += 1
+                self.key_queues.append(event.arrival.key, event.arrival.message)
             return
         message = self.accept(event.arrival)
         message.cls = self.canonical_class(
@@ -1000,10 +993,8 @@
 
     def pause_key(self, key: int, duration: float) -> None:
         """Delays the key's next message by `duration` ms at least, since an attempt may still be running."""
-        until = max(self.key_paused_until.get(key, 0.0), self.now + duration + 1)
-        self.key_paused_until[key] = until
-        self.key_pause_ends.set(key, until)
-        head = self.messages.get(self.key_queues[key][0]) if key in self.key_queues else None
+        self.key_queues.pause(key, self.now + duration + 1)
+        head = self.messages.get(self.key_queues.head(key))
         if head and (backlog := self.backlogs.get(head.destination)) and head.id in backlog.messages:
             self.schedule(head, backlog)
 
@@ -1109,18 +1100,8 @@
 
     def leave_key_queue(self, key: int, message: int) -> None:
         """Removes a message from its per-key queue and makes the next one ready."""
-        queue = self.key_queues.get(key)
-        if queue is None or message not in self.queued_messages:
-            return
-        self.queued_messages.discard(message)
-        self.queue_lengths[key] -= 1
-        if queue[0] != message:
-            return
-        while queue and queue[0] not in self.queued_messages:
-            queue.popleft()
-        if not queue:
-            del self.key_queues[key], self.queue_lengths[key]
-        elif (first := self.messages.get(queue[0])) and not first.in_flight:
+        first = self.messages.get(self.key_queues.remove(key, message))
+        if first and not first.in_flight:
             self.schedule(first, self.backlogs[first.destination])
             self.destinations_to_check[first.destination] = None
 
@@ -1148,8 +1129,7 @@
             if message and not message.in_flight:
                 self.refuse_or_fail(message)
         self.wake_at = min(self.wake_at, self.deadlines.first())
-        for key in self.key_pause_ends.due(self.now):
-            del self.key_paused_until[key]
+        self.key_queues.drop_ended_pauses(self.now)
 
     def draw_wait(self, previous: float, maximum: float = MAX_RETRY_WAIT_MS) -> float:
         """Draws a wait in ms by decorrelated jitter: min(maximum, random(base, previous * 3))."""
@@ -1510,7 +1490,7 @@
         size = min(state.max_batch, self.settings.kinds[endpoint.entry.kind].batch)
         calls = len(self.backlogs[batch[0].destination]) / size / len(self.states[batch[0].destination])
         # A call carries one message of each key.
-        queue_length = max((self.queue_lengths[m.key] for m in batch if m.key), default=0)
+        queue_length = max((self.key_queues.lengths[m.key] for m in batch if m.key), default=0)
         # A shorter aim counts as BASE_RETRY_WAIT_MS: no rate could meet it.
         return 1000 * max(calls, queue_length) / max(BASE_RETRY_WAIT_MS, batch[0].cls.aim)
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -55,11 +55,13 @@
                 await wait_until(lambda: len(node.endpoints.numbers) <= 20)
                 policy = node.sender
                 left = (
-                    sizes(policy, ("messages", "calls_by_attempt", "key_queues", "key_paused_until"))
+                    sizes(policy, ("messages", "calls_by_attempt"))
                     | sizes(node.calls, ("by_message",))
                     | sizes(node.admission, ("pending_by_id", "pending"))
                 )
                 assert not any(left.values()), left
+                queues = sizes(policy.key_queues, ("queues", "messages", "lengths", "paused_until"))
+                assert not any(queues.values()), queues
                 assert (
                     len(policy.endpoints)
                     == len(node.endpoints.numbers)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -494,7 +494,9 @@
                     b"three",
                 ]
                 await wait_until(
-                    lambda: not node.store.entries and not node.sender.messages and not node.sender.key_queues
+                    lambda: not node.store.entries
+                    and not node.sender.messages
+                    and not node.sender.key_queues.queues
                 )
                 assert discovery.notifications.empty()
         assert "injected fault" in caplog.text
