--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Iterable
 
 from .. import interface as i
@@ -14,6 +13,7 @@
 from ..carriers.http.receivers import Call, CallResult, Receivers, Transports, split_batches
 from ..observe.events import record
 from ..store.entry import Entry
+from .call_log import log_attempt, log_call, log_held_back
 from .completions import Completions
 from .core import Core
 from .key_pauses import KeyPauses
@@ -21,7 +21,6 @@
 
 log = logging.getLogger(__name__)
 EXPIRY_LEAD_TICKS = 2  # before a deadline: the policy decides in a later round, at most a tick after
-LOGGED_OUTCOMES = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CONNECT_FAILED)
 
 
 def load_brokers(core: Core) -> Transports | None:
@@ -146,7 +145,7 @@
         if not self.may_proceed(call):
             return False
         if not self.store.record_attempts(call.entries, self.core.now, call.receiver.entry.zone):
-            self.record_held_back(call, "not_recorded")
+            log_held_back(call, "not_recorded")
             self.report_store_state()
             return False
         if not self.store.fsync_required:
@@ -171,7 +170,7 @@
         replaced = self.receivers.is_replaced(call)
         if waiting or drained or replaced:
             reason = "replaced" if replaced else "retry_after" if waiting else "draining"
-            self.record_held_back(call, reason)
+            log_held_back(call, reason)
             return False
         for entry in list(call.entries):
             served = entry.destination == endpoint.destination  # an update may have reassigned the endpoint
@@ -180,11 +179,6 @@
                 self.remove_from_call(call, entry)
         return bool(call.entries)
 
-    @staticmethod
-    def record_held_back(call: Call, reason: str) -> None:
-        """Counts and logs a call that ends without a byte written."""
-        record("attempt_held_back", reason, level=logging.DEBUG, ids=call.ids(), endpoint=call.receiver.name)
-
     def remove_from_call(self, call: Call, entry: Entry) -> None:
         """Ends the attempt of a message, of which no byte was written, and takes it out of its call."""
         index = next(at for at, other in enumerate(call.entries) if other is entry)
@@ -207,8 +201,7 @@
             self.store.record_retry_after(
                 self.retry_after.route_name(endpoint), self.retry_after.extend(endpoint, result.retry_after)
             )
-        self.log_failures(call, result)
-        self.log_reported_early(call)
+        log_call(call, result, self.elapsed_ms(call))
         completed, open_entries = [], []
         for entry, attempt, (outcome, closed_by_receiver) in zip(
             call.entries, call.attempts, result.outcomes, strict=True
@@ -281,44 +274,19 @@
 
         `closed`: the message is complete and needs no further attempt.
         """
-        fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.name,
-                  "connection": call.connection, "use": call.uses, "call_open": call.open}  # fmt: skip
-        record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
-        elapsed = (self.core.loop.time() - call.started) * 1000
-        endpoint = call.receiver.entry.endpoint
+        log_attempt(call, entry, attempt, outcome)
+        elapsed, endpoint = self.elapsed_ms(call), call.receiver.entry.endpoint
         fresh, wait, report = call.uses == 1, result.retry_after, result.load_report
         self.core.push(
             i.Result(entry.number, attempt, endpoint, outcome, elapsed, closed, wait, report, fresh)
         )
 
+    def elapsed_ms(self, call: Call) -> float:
+        """Returns the time since a call was started, in ms."""
+        return (self.core.loop.time() - call.started) * 1000
+
     def release(self, entry: Entry) -> None:
         """Removes a message that expired before its call ended; its key's next message may follow a pause."""
         self.by_message.pop(entry.number, None)
         self.key_pauses.begin(entry)
         self.completions.release_key(entry)
-
-    def log_reported_early(self, call: Call) -> None:
-        """Logs the end of a call some of whose messages had got their outcomes before it."""
-        early = [entry for entry in call.entries if entry.number in call.completed]
-        if early:
-            elapsed = (self.core.loop.time() - call.started) * 1000
-            record(
-                "call_ended", "outcomes_reported_before", level=logging.DEBUG,
-                ids=",".join(entry.id for entry in early), endpoint=call.receiver.name,
-                connection=call.connection, use=call.uses, elapsed_ms=f"{elapsed:.1f}",
-            )  # fmt: skip
-
-    def log_failures(self, call: Call, result: CallResult) -> None:
-        """Logs failed attempts, to help diagnose an outage. Refusals are routine and not logged.
-
-        One line covers all messages of a call with the same outcome: an outage may fail hundreds a second. It
-        names the first message of the call.
-        """
-        elapsed = (self.core.loop.time() - call.started) * 1000
-        failed = Counter(outcome for outcome, _ in result.outcomes if outcome in LOGGED_OUTCOMES)
-        for outcome, count in failed.items():
-            log.info(
-                "message %s and %d more to %s: %s after %.0f ms, call %d on connection %d",
-                call.entries[0].id, count - 1, call.receiver.name, outcome.name, elapsed,
-                call.uses, call.connection,
-            )  # fmt: skip
--- a/tests/test_key_pauses.py
+++ b/tests/test_key_pauses.py
@@ -28,6 +28,7 @@
 
 GAP_MS, LONGER_THAN_GAP_S = 400.0, 0.5
 RULES = {"drain-grace": 500.0, "turn-gap": GAP_MS}
+ONE_ATTEMPT = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
 KEY, OTHER_KEY = "000000000000002a", "000000000000002b"
 ROWS = json.dumps([{"id": name, "state": "delivered"} for name in ("first", "other")]).encode()
 
@@ -170,7 +171,6 @@
 def test_a_key_pauses_after_a_call_whose_answer_cannot_be_used(tmp_path, response):
     async def scenario():
         stalled = asyncio.get_running_loop().create_future()
-        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
 
         class StallingReceiver(KeyedReceiver):
             async def serve(self, reader, writer):
@@ -183,7 +183,7 @@
 
         async with (
             StallingReceiver((200, [], b"")) as receiver,
-            keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client),
+            keyed_sender(tmp_path, receiver, "single", **ONE_ATTEMPT) as (node, discovery, client),
         ):
             ends = CallEnds(node)
             await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
@@ -197,10 +197,9 @@
 # Guards against the same when the answer belongs to another call on that connection, and its own never came.
 def test_a_key_pauses_after_a_call_that_got_the_answer_of_another_one(tmp_path):
     async def scenario():
-        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
         async with (
             KeyedReceiver((200, [("X-Call-Id", "warm")], b"")) as receiver,
-            keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client),
+            keyed_sender(tmp_path, receiver, "single", **ONE_ATTEMPT) as (node, discovery, client),
         ):
             ends = CallEnds(node)
             await submit(client, ("warm", "safe", 20000, "0" * 16))
@@ -290,14 +289,13 @@
 # Guards against a pause that is forgotten with the process: the call had ended before.
 def test_a_key_pauses_over_a_restart_from_the_end_of_its_call(tmp_path):
     async def scenario():
-        limits = {"policy-limits": SETTINGS["policy-limits"] | {"max-attempts": 1}}
         async with KeyedReceiver(None) as receiver:
-            async with keyed_sender(tmp_path, receiver, "single", **limits) as (node, discovery, client):
+            async with keyed_sender(tmp_path, receiver, "single", **ONE_ATTEMPT) as (node, discovery, client):
                 ends = CallEnds(node)
                 await submit(client, ("first", "keyed", 20000, KEY), ("second", "keyed", 20000, KEY))
                 ended_at = await ends.of("first")
                 await wait_until(lambda: len(node.store.entries) == 1)
-            async with keyed_sender(tmp_path, receiver, "single", **limits):
+            async with keyed_sender(tmp_path, receiver, "single", **ONE_ATTEMPT):
                 await wait_until(lambda: "second" in receiver.begun)
             assert_paused(ended_at, receiver.begun["second"])
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -234,47 +234,56 @@
     run_with_timeout(scenario())
 
 
+@contextlib.asynccontextmanager
+async def overdue_message(tmp_path, notifications_to_reject):
+    """Runs a node with two messages of a key: "first", in a call that waits for `gate`, and "second" behind it.
+
+    Yields the node, the receiver after its request for "first", discovery, and `gate`: the response to "first".
+    """
+    gate = asyncio.get_running_loop().create_future()
+    answers = {b"first": gate}
+    async with (
+        HttpServer(
+            lambda request, body: answers.get(dict(request.headers)[b"x-call-id"], (200, [], b""))
+        ) as receiver,
+        DiscoveryServer([endpoint_entry("r1", receiver.address)]) as discovery,
+    ):
+        discovery.notifications_to_reject = notifications_to_reject
+        async with sender(tmp_path, discovery) as node, RespClient(node.port) as client:
+            for name in ("first", "second"):
+                client.writer.write(
+                    encode_submission(name, "keyed", 20000, key="7", extra_fields=f",k={name}")
+                )
+            assert [await client.read_reply(), await client.read_reply()] == ["OK", "OK"]
+            await receiver.next_request()
+            yield node, receiver, discovery, gate
+
+
+def give_up_as_overdue(node, number):
+    """Lets the periodic check give up a message."""
+    node.completions.overdue.set(number, 0.0)
+    node.completions.expire_overdue()
+    assert node.store.entries[number].end == "given_up"
+
+
 # Guards against a key's next message that goes before the final status of an overdue one was acknowledged.
 @pytest.mark.parametrize("in_flight", [True, False])
 def test_a_key_waits_until_the_notification_of_an_overdue_message_is_answered(tmp_path, in_flight):
     """A message that ends by a notification is over when that is answered, whether its call ends before or after."""
 
     async def scenario():
-        gate = asyncio.get_running_loop().create_future()
-        answers = {b"first": gate}
-        async with (
-            HttpServer(
-                lambda request, body: answers.get(dict(request.headers)[b"x-call-id"], (200, [], b""))
-            ) as receiver,
-            DiscoveryServer() as discovery,
-        ):
-            discovery.endpoints, discovery.notifications_to_reject = (
-                [endpoint_entry("r1", receiver.address)],
-                1000,
-            )
-            async with sender(tmp_path, discovery) as node, RespClient(node.port) as client:
-                for name in ("first", "second"):
-                    client.writer.write(
-                        encode_submission(name, "keyed", 20000, key="7", extra_fields=f",k={name}")
-                    )
-                assert [await client.read_reply(), await client.read_reply()] == ["OK", "OK"]
-                await receiver.next_request()
-                first = node.store.entries[1]
-                if not in_flight:
-                    gate.set_result((500, [], b""))
-                    await wait_until(lambda: not node.calls.by_message)
-                node.completions.overdue.set(1, 0.0)
-                node.completions.expire_overdue()
-                assert first.end == "given_up"
-                if in_flight:
-                    gate.set_result((500, [], b""))
-                await wait_until(
-                    lambda: discovery.notifications_to_reject < 999
-                )  # repeated, and rejected again
-                assert receiver.requests.empty()
-                discovery.notifications_to_reject = 0
-                assert await discovery.next_notification() == {"message": "first", "outcome": "given_up"}
-                assert (await receiver.next_request())[1][b"x-call-id"] == b"second"
+        async with overdue_message(tmp_path, 1000) as (node, receiver, discovery, gate):
+            if not in_flight:
+                gate.set_result((500, [], b""))
+                await wait_until(lambda: not node.calls.by_message)
+            give_up_as_overdue(node, 1)
+            if in_flight:
+                gate.set_result((500, [], b""))
+            await wait_until(lambda: discovery.notifications_to_reject < 999)  # repeated, and rejected again
+            assert receiver.requests.empty()
+            discovery.notifications_to_reject = 0
+            assert await discovery.next_notification() == {"message": "first", "outcome": "given_up"}
+            assert (await receiver.next_request())[1][b"x-call-id"] == b"second"
 
     run_with_timeout(scenario())
 
@@ -282,28 +291,12 @@
 # Guards against a key that stays blocked: the call of an overdue message ended after its notification was answered.
 def test_a_key_goes_on_after_the_call_of_an_overdue_message_whose_notification_was_answered(tmp_path):
     async def scenario():
-        gate = asyncio.get_running_loop().create_future()
-        answers = {b"first": gate}
-        async with (
-            HttpServer(
-                lambda request, body: answers.get(dict(request.headers)[b"x-call-id"], (200, [], b""))
-            ) as receiver,
-            DiscoveryServer() as discovery,
-        ):
-            discovery.endpoints = [endpoint_entry("r1", receiver.address)]
-            async with sender(tmp_path, discovery) as node, RespClient(node.port) as client:
-                for name in ("first", "second"):
-                    client.writer.write(
-                        encode_submission(name, "keyed", 20000, key="7", extra_fields=f",k={name}")
-                    )
-                assert [await client.read_reply(), await client.read_reply()] == ["OK", "OK"]
-                await receiver.next_request()
-                node.completions.overdue.set(1, 0.0)
-                node.completions.expire_overdue()
-                await wait_until(lambda: 1 not in node.store.entries)
-                assert receiver.requests.empty() and 1 in node.calls.by_message
-                gate.set_result((500, [], b""))
-                assert (await receiver.next_request())[1][b"x-call-id"] == b"second"
+        async with overdue_message(tmp_path, 0) as (node, receiver, _, gate):
+            give_up_as_overdue(node, 1)
+            await wait_until(lambda: 1 not in node.store.entries)
+            assert receiver.requests.empty() and 1 in node.calls.by_message
+            gate.set_result((500, [], b""))
+            assert (await receiver.next_request())[1][b"x-call-id"] == b"second"
 
     run_with_timeout(scenario())
 
