Refuse a file at SIGHUP that lacks a key of the file in force

Cause: the environment of the start stands in for keys that a file lacks, which is meant for the first start; at a reload it is older than the file in force.

Change: a reload requires every key that the file in force has (Config.file_keys); else the log names the key, and all stays as it was.

--- a/rainpier/config/build.py
+++ b/rainpier/config/build.py
@@ -38,6 +38,7 @@
     destinations: dict[str, int] = field(default_factory=dict)  # numbers by name, for those with a name
     brokers: dict[int, BrokerOptions] = field(default_factory=dict)  # by destination number
     amqp: Options | None = None  # of the AMQP listener; None without one
+    file_keys: frozenset[str] = frozenset()  # top-level keys of the platform's file that it was read from
 
     @property
     def call_descriptors(self) -> int:
--- a/rainpier/config/platform.py
+++ b/rainpier/config/platform.py
@@ -5,6 +5,7 @@
 import os
 import stat
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 
 from .. import interface
@@ -128,8 +129,11 @@
         raise ConfigError(f"EDGE_STATE: not a folder: {str(state)!r}")
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """Reads the configuration that the environment names; raises ConfigError or ConfigUnavailable."""
+def load(env: Mapping[str, str], required: frozenset[str] = frozenset()) -> Config:
+    """Reads the configuration that the environment names; raises ConfigError or ConfigUnavailable.
+
+    `required`: keys that the file has to have. The environment stands in for other keys that it lacks.
+    """
     for name in ("EDGE_CONFIG", "EDGE_STATE"):
         if not env.get(name):
             raise ConfigError(f"{name} is not set")
@@ -143,6 +147,8 @@
     check_folder(state)
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: not a JSON object")
+    if missing := required - raw.keys():
+        raise ConfigError(f"EDGE_CONFIG: missing, and in the file in force: {', '.join(sorted(missing))}")
     try:
         return decode(raw, env, state)
     except KeyError as error:
@@ -172,4 +178,5 @@
     model.limits.sockets = int(read_limit(limits, "sockets", 1024))
     model.limits.disk = int(read_limit(limits, "disk_mb", 3) * MEGABYTE)
     model.limits.memory = int(read_limit(limits, "memory_mb", DEFAULT_MEMORY_MB) * MEGABYTE)
-    return build.build_config(model, int(str(raw.get("seed", "0")), 16))
+    config = build.build_config(model, int(str(raw.get("seed", "0")), 16))
+    return replace(config, file_keys=frozenset(raw))
--- a/rainpier/config/reload.py
+++ b/rainpier/config/reload.py
@@ -13,12 +13,17 @@
 
 log = logging.getLogger(__name__)
 LIVE_FIELDS = ("discovery",)  # fields of Config that are applied while the process runs
-STARTUP_FIELDS = ("seed", "known")  # used only at startup, so a change of them is not reported
+# Used only at startup or for the next reload, so that a change of them is not reported.
+STARTUP_FIELDS = ("seed", "known", "file_keys")
 PARTIAL_WRITE_TIMEOUT = 0.5  # s for which an invalid file is read again, since it may still be being written
 
 
 class Reload:
-    """Reads the configuration on request. An invalid configuration leaves the current one in force."""
+    """Reads the configuration on request. An invalid configuration leaves the current one in force.
+
+    A file is also invalid if it lacks a key of the one in force: what would stand in for it, the environment
+    of the start, is older.
+    """
 
     def __init__(self, env: Mapping[str, str]) -> None:
         self.env, self.requested = env, asyncio.Event()
@@ -32,17 +37,20 @@
         while True:
             await self.requested.wait()
             self.requested.clear()
-            new = await self.read()
+            new = await self.read(config.file_keys)
             if new is not None:
                 config = self.apply(config, new, discovery, sink)
 
-    async def read(self) -> Config | None:
-        """Returns the configuration once readable; None if it stays invalid for PARTIAL_WRITE_TIMEOUT."""
+    async def read(self, required: frozenset[str]) -> Config | None:
+        """Returns the configuration once readable; None if it stays invalid for PARTIAL_WRITE_TIMEOUT.
+
+        `required`: keys that the file has to have.
+        """
         loop = asyncio.get_running_loop()
         started, last_logged = loop.time(), -LOG_INTERVAL
         while True:
             try:
-                return load(self.env)
+                return load(self.env, required)
             except ConfigUnavailable as error:
                 failure = error
             except ConfigError as error:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -90,6 +90,39 @@
     run_with_timeout(scenario())
 
 
+# Guards against a file short of a key that moves discovery and notifications back to the address of the start.
+@pytest.mark.parametrize("key", ["name", "listen", "discovery", "seed", "limits", "known", "settings"])
+def test_a_file_short_of_a_key_changes_nothing(tmp_path, key):
+    async def scenario():
+        hosts = [endpoint_entry("r1", "127.0.0.1:1", health="DRAINING")]
+        async with (
+            DiscoveryServer(hosts) as old,
+            DiscoveryServer(hosts) as new,
+            DiscoveryServer(hosts) as newest,
+        ):
+            process = Process(tmp_path, old)
+            process.env |= {"EDGE_DISCOVERY": old.address, "EDGE_LISTEN": "127.0.0.1:0", "EDGE_NAME": "n0"}
+            async with process as sender, RespClient(sender.port) as client:
+                edit_and_signal(sender, discovery=new.address)
+                await wait_until(lambda: new.update_requests)
+                path = tmp_path / "config.json"
+                whole = json.loads(path.read_text())
+                short = {name: value for name, value in whole.items() if name != key}
+                path.write_text(
+                    json.dumps(short | ({"discovery": newest.address} if key != "discovery" else {}))
+                )
+                sender.process.send_signal(signal.SIGHUP)
+                await wait_until_logged(
+                    sender,
+                    f"not applied, keeping the current one: EDGE_CONFIG: missing, and in the file in force: {key}".encode(),
+                )
+                assert await client.request(encode_submission("late", deadline_ms=100)) == "OK"
+                assert (await new.next_notification())["message"] == "late"
+                assert not newest.update_requests and old.notifications.empty()
+
+    run_with_timeout(scenario())
+
+
 def test_repeated_sighup_and_an_immediate_sigterm_exit_with_0(tmp_path):
     async def scenario():
         async with (
