Open a new connection after a request to discovery or the sink got no answer

Cause: Client keeps up to four idle connections. A request without an answer closed its own one only, and the next tries went to the others, 0.2 s each.

Change: after such a request the other idle connections are suspect and are used only while no new connection can be opened; one that answers is trusted again, and a suspect one makes room for a new one. They are not closed at once, since they are the spare ones for the time in which connect() fails.

--- a/rainpier/carriers/http/client.py
+++ b/rainpier/carriers/http/client.py
@@ -9,7 +9,11 @@
 
 
 class Client:
-    """Sends one request at a time to one address, each with a timeout. `max_body`: bytes of a response."""
+    """Sends one request at a time to one address, each with a timeout. `max_body`: bytes of a response.
+
+    When a request gets no answer, the other connections are suspect: a peer or a network that falls silent
+    often does so on all of them. They are used only while no new connection can be opened.
+    """
 
     def __init__(self, address: tuple[str, int], max_body: int) -> None:
         self.address, self.max_body = address, max_body
@@ -40,13 +44,15 @@
     def take(self, out_of_quarantine: bool) -> Connection | None:
         """Removes and returns an idle connection, None if there is none.
 
-        With `out_of_quarantine`, the most recently used one that has left its quarantine. Without, the least
-        recently used of all, which is the least likely to receive a duplicate of its last response.
+        With `out_of_quarantine`, the most recently used one that has left its quarantine and is not suspect.
+        Without, the least recently used of all, which is the least likely to receive a duplicate of its last
+        response; suspect ones last.
         """
-        usable = [
-            connection for connection in self.idle if connection.out_of_quarantine or not out_of_quarantine
-        ]
-        for connection in reversed(usable) if out_of_quarantine else usable:
+        if out_of_quarantine:
+            usable = [each for each in reversed(self.idle) if each.out_of_quarantine and not each.suspect]
+        else:
+            usable = sorted(self.idle, key=lambda each: each.suspect)
+        for connection in usable:
             self.idle.remove(connection)
             if connection.mark_busy():
                 return connection
@@ -56,8 +62,8 @@
     async def connect(self, timeout: float) -> tuple[Connection, bool]:
         """Returns an idle connection out of quarantine, or a new one opened within `timeout` s, and True.
 
-        If none can be opened, returns one still in quarantine, and False: its next response may be a
-        duplicate of an earlier one. Raises OSError or TimeoutError if there is none either.
+        If none can be opened, returns one still in quarantine or suspect, and whether its next response can't
+        be a duplicate of an earlier one. Raises OSError or TimeoutError if there is none either.
         """
         idle = self.take(out_of_quarantine=True)
         if idle is not None:
@@ -69,20 +75,34 @@
             idle = self.take(out_of_quarantine=False)
             if idle is None:
                 raise
-            return idle, False
+            return idle, idle.out_of_quarantine
 
     def release(self, connection: Connection, reason: CloseReason | None) -> None:
         """Keeps the connection idle; closes it if there is a reason, or if MAX_IDLE others are idle.
 
-        Those leave their quarantine earlier.
+        Those leave their quarantine earlier. A suspect one of them makes room.
         """
-        if reason is None and len(self.idle) >= MAX_IDLE:
+        if reason is None and len(self.idle) >= MAX_IDLE and not self.close_suspect():
             reason = CloseReason.NOT_SETTLED
         if reason is not None:
             return self.close(connection, reason)
         connection.mark_idle(self.on_unusable)
         self.idle.append(connection)
 
+    def close_suspect(self) -> bool:
+        """Closes the least recently used suspect connection; returns False if none is suspect."""
+        suspect = next((connection for connection in self.idle if connection.suspect), None)
+        if suspect is None:
+            return False
+        self.idle.remove(suspect)
+        self.close(suspect, CloseReason.SUSPECT)
+        return True
+
+    def on_unanswered(self) -> None:
+        """Makes all idle connections suspect, after a request without an answer."""
+        for connection in self.idle:
+            connection.suspect = True
+
     async def request(
         self, method: str, target: str, body: bytes, timeout: float, io_timeout: float | None = None
     ) -> Response:
@@ -104,9 +124,11 @@
                 await connection.send(format_request(method, target, [host], body), self.max_body, io_timeout)
                 response = await connection.receive()
                 response.matched = matched
-                answered = True
+                answered, connection.suspect = True, False
                 return response
         finally:
+            if not answered:
+                self.on_unanswered()
             if self.busy is not None:
                 reason = self.busy.end_exchange()
                 self.release(self.busy, reason if answered else CloseReason.NO_ANSWER)
--- a/rainpier/carriers/http/connection.py
+++ b/rainpier/carriers/http/connection.py
@@ -31,6 +31,7 @@
     REUSE_SUSPENDED = "reuse_suspended"  # its endpoint recently sent bytes that belong to no request
     RELEASED = "released"  # its endpoint drains, moved or failed, or the policy closes idle connections
     DESCRIPTORS = "descriptor_limit"  # its descriptor is needed for a new connection
+    SUSPECT = "suspect"  # another connection to its peer gave no answer, and newer ones do
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -43,6 +44,7 @@
         self.sock = sock
         self.unsolicited = False  # received bytes that belong to no exchange
         self.out_of_sync = False  # its last response belonged to another request
+        self.suspect = False  # another connection to its peer gave no answer, so that it may be dead too
         self.last_response_at = -math.inf  # loop time, s, at which its last complete response was read
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,7 +5,7 @@
 import pytest
 from peers import HttpServer, TcpServer, run_with_timeout, wait_until
 
-from rainpier.carriers.http.client import Client
+from rainpier.carriers.http.client import MAX_IDLE, Client
 from rainpier.carriers.http.connection import Connection
 from rainpier.carriers.http.exchange import EXCHANGE_ERRORS, Response
 from rainpier.sinks.http import HttpSink
@@ -72,6 +72,82 @@
     run_with_timeout(scenario())
 
 
+class FallingSilent(HttpServer):
+    """Answers 204; after `fall_silent` no connection that was open then gets any answer, and new ones do."""
+
+    def __init__(self):
+        super().__init__(lambda request, body: (204, [], b""))
+        self.silent = set()
+
+    def fall_silent(self):
+        """Stops answering on the connections that are open."""
+        self.silent |= self.writers
+
+    def write_response(self, writer, response):
+        if writer not in self.silent:
+            super().write_response(writer, response)
+
+
+async def client_with_idle_connections(peer, count):
+    """Returns a client with so many idle connections that have left their quarantine."""
+    client = Client(("127.0.0.1", peer.port), 1000)
+    for _ in range(count):  # each opens one, since the ones before are still in quarantine
+        await client.request("POST", "/reports", b"", 5.0)
+    assert len(client.idle) == count
+    await wait_until(lambda: all(connection.out_of_quarantine for connection in client.idle))
+    return client
+
+
+# Guards against notifications that are late by one timeout for each kept connection, when all fall silent together.
+@pytest.mark.parametrize("count", [2, MAX_IDLE])
+def test_connections_that_fell_silent_with_another_one_are_not_tried_one_after_the_other(count):
+    async def scenario():
+        async with FallingSilent() as peer:
+            client = await client_with_idle_connections(peer, count)
+            peer.fall_silent()
+            with pytest.raises(TimeoutError):
+                await client.request("POST", "/reports", b"", 0.1)
+            for _ in range(3):
+                assert (await client.request("POST", "/reports", b"", 5.0)).status == 204
+            assert len(client.idle) <= MAX_IDLE and not client.idle[-1].suspect
+            client.drop()
+
+    run_with_timeout(scenario())
+
+
+def test_suspect_connections_are_used_while_none_can_be_opened_and_trusted_once_they_answer(monkeypatch):
+    """Otherwise a single request without an answer would cost the spare connections while connect() fails."""
+
+    async def scenario():
+        async with FallingSilent() as peer:
+            client = await client_with_idle_connections(peer, 2)
+            peer.silent = {
+                next(
+                    writer for writer in peer.writers if port_of(writer) == port_of(client.idle[-1].transport)
+                )
+            }
+
+            async def fail_open(address):
+                raise OSError(errno.ENETUNREACH, "Network is unreachable")
+
+            monkeypatch.setattr(Connection, "open", fail_open)
+            with pytest.raises(TimeoutError):
+                await client.request("POST", "/reports", b"", 0.1)
+            (spare,) = client.idle
+            assert spare.suspect
+            response = await client.request("POST", "/reports", b"", 5.0)
+            assert response.status == 204 and response.matched and not spare.suspect
+            client.drop()
+
+    run_with_timeout(scenario())
+
+
+def port_of(transport_or_writer):
+    """Returns the client's port of a connection, seen from either side."""
+    name = "peername" if hasattr(transport_or_writer, "drain") else "sockname"
+    return transport_or_writer.get_extra_info(name)[1]
+
+
 def test_notifications_are_resent_until_a_response_is_matched():
     """A response on a connection in quarantine may be a duplicate, so the notification is sent again at once.
 
