Model checker: the pause of a key after a call without an answer as a property

Change: the property 'pause', with the fact (a call of the key ended without an answer) and what the sender knows of it apart; three mutants, which are the faults as they were: the pause counts from a message's outcome, is left out after an answer that can't be used, ends with the process. Two more small worlds; one begins with a call of several in flight, since all before that would take too many states.

--- a/rainpier/attempt/explore.py
+++ b/rainpier/attempt/explore.py
@@ -4,7 +4,8 @@
 that may take any decision of its interface at any moment; connections that come up or end at any step;
 endpoints that run a message or not, early, late, or after its call was given up; retry-after deadlines,
 drains, repeat windows that close, and a restart of the process with the records that the store then has. Time
-is not modelled: whatever takes time may take any amount of it.
+is not modelled: whatever takes time may take any amount of it. The pause of a key is a fact that begins with
+the end of a call without an answer; the sender's knowledge of it is modelled apart.
 
 Each property is checked at the steps that could violate it. The first violation found has the shortest trace.
 """
@@ -27,6 +28,7 @@
     "wait": "nothing is written to an endpoint before its retry-after deadline",
     "drain": "nothing is written to an endpoint after the grace period of its drain",
     "order": "no message is written before earlier ones of its key are completed and their calls closed",
+    "pause": "after a call without an answer the key's next message is not written before its pause is over",
     "proof": "an attempt that provably never ran does not count as one that may have run",
     "delivery": "a message that an endpoint confirmed counts as delivered",
     "record": "an attempt is recorded before its first byte, and a final status before it is reported",
@@ -65,6 +67,7 @@
     state: State = State.CONNECTING
     sent: bool = False  # the last byte was written
     status_200: bool = False  # the status line was 200
+    confirmed: tuple[int, ...] = ()  # numbers of the messages that were confirmed while it went on
 
     @property
     def open_parts(self) -> list[int]:
@@ -80,6 +83,8 @@
     calls: tuple[Call, ...] = ()
     key_queue: tuple[int, ...] = ()  # messages of the one key, in the order accepted
     restart_count: int = 0  # restarts of the process until now
+    pause_owed: bool = False  # the fact: a call of the one key ended without an answer, its pause is not over
+    key_paused: bool = False  # what the sender knows of it
 
     def in_flight(self, number: int) -> bool:
         """Whether an open call carries the message."""
@@ -92,6 +97,8 @@
 
     `effects`: one for each message. `keyed`: numbers of the messages that share the one key.
     `max_attempts`: of each message. `batch`: most messages in one call. `calls`: most open calls.
+    `endpoints_change`: endpoints begin to drain, and refuse calls with a retry-after deadline.
+    `in_flight`: if not empty, all messages are accepted in the first state, and these are in a written call.
     """
 
     effects: tuple[Effect, ...] = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
@@ -101,6 +108,8 @@
     restarts: int = 1
     batch: int = 2
     calls: int = 2
+    endpoints_change: bool = True
+    in_flight: tuple[int, ...] = ()
 
 
 class PropertyViolated(Exception):
@@ -124,10 +133,20 @@
     records: frozenset[str] = frozenset({"begin", "end"})
     can_give_up: bool = True  # a message that may be neither sent nor refused is failed
     removes_blocked: bool = True  # a message that may not be written any more is removed from its call
+    pauses_at_call_end: bool = True  # the pause of a key counts from there; False: from a message's outcome
+    pauses_without_usable_answer: bool = True  # a key also pauses after an answer that can't be used
+    records_pauses: bool = True  # the pause of a key outlasts the process
 
     def initial_state(self) -> SystemState:
-        """Returns the state with no message submitted and all endpoints ready."""
-        return SystemState((Message(),) * len(self.size.effects), ((False, READY),) * self.size.endpoints)
+        """Returns the first state, with all endpoints ready; see ModelSize.in_flight."""
+        numbers, in_flight = range(len(self.size.effects)), self.size.in_flight
+        endpoints = ((False, READY),) * self.size.endpoints
+        if not in_flight:
+            return SystemState((Message(),) * len(numbers), endpoints)
+        held, begun = Message(HELD), Message(HELD, begun=True, attempts=1)
+        messages = tuple(begun if number in in_flight else held for number in numbers)
+        call = Call(0, tuple((number, False, False) for number in in_flight), State.WRITTEN, sent=True)
+        return SystemState(messages, endpoints, (call,), self.size.keyed)
 
     def transitions(self, system: SystemState) -> Transitions:
         """Yields each possible next step as a text and the state after it."""
@@ -196,6 +215,8 @@
         message, rules = system.messages[number], self.rules
         if message.phase not in (HELD, DECIDED) or message.attempts >= self.size.max_attempts:
             return False
+        if number in self.size.keyed and system.key_paused and not message.attempts:
+            return False
         repeat = rules.may_repeat(self.size.effects[number], message.risky, message.window_open)
         if not rules.may_begin(system.in_flight(number), message.phase == DECIDED, repeat):
             return False
@@ -348,6 +369,8 @@
             earlier = system.key_queue[: system.key_queue.index(number)] if number in system.key_queue else ()
             if any(system.messages[other].phase != COMPLETED or system.in_flight(other) for other in earlier):
                 raise PropertyViolated("order")
+            if earlier and system.pause_owed and message.attempts == 1:
+                raise PropertyViolated("pause")
         return system
 
     def endpoint_transitions(self, system: SystemState, call_index: int, where: str) -> Transitions:
@@ -372,7 +395,7 @@
             f"{where}: it is answered with an error",
             self.apply_event(system, call_index, Event.ANSWER, errors),
         )
-        if not any(ran for _, _, ran in call.parts):
+        if not any(ran for _, _, ran in call.parts) and self.size.endpoints_change:
             endpoint_index = call.endpoint
             after = system._replace(
                 endpoints=(
@@ -426,8 +449,19 @@
                 if proven_not_run and not ran and not outcome.never_ran:
                     raise PropertyViolated("proof")
                 system = self.apply_outcome(system, number, outcome)
+        if fully_sent and step.outcome is not Outcome.OK and not step.by_answer:
+            system = self.end_unanswered(system, call, event)
         return system._replace(calls=(*system.calls[:call_index], *system.calls[call_index + 1 :]))
 
+    def end_unanswered(self, system: SystemState, call: Call, event: Event) -> SystemState:
+        """Begins the pause of the key, if one of its messages is in a call that ends without an answer."""
+        keyed = [part for part in call.parts if part[0] in self.size.keyed and part[0] not in call.confirmed]
+        if not keyed:
+            return system
+        known = self.pauses_at_call_end or any(not has_outcome for _, has_outcome, _ in keyed)
+        known = known and (event is not Event.UNREADABLE or self.pauses_without_usable_answer)
+        return system._replace(pause_owed=True, key_paused=system.key_paused or known)
+
     def expire(self, system: SystemState, call_index: int, number: int) -> SystemState:
         """Ends the attempt of one message at its deadline while its call goes on."""
         begun = system.calls[call_index].state not in (State.CONNECTING, State.RECORDING)
@@ -439,19 +473,17 @@
                 call._replace(parts=tuple(part for part in call.parts if part[0] != number)),
             )
             return self.apply_outcome(system, number, Outcome.MOOT)
+        if number in self.size.keyed and not self.pauses_at_call_end:
+            system = system._replace(key_paused=True)
         return self.end_part(system, call_index, number, Outcome.TIMEOUT)
 
     def end_part(self, system: SystemState, call_index: int, number: int, outcome: Outcome) -> SystemState:
         """Gives one message its outcome while its call goes on."""
-        parts = tuple(
-            (other, has_outcome or other == number, ran)
-            for other, has_outcome, ran in system.calls[call_index].parts
-        )
-        return self.apply_outcome(
-            self.with_call(system, call_index, system.calls[call_index]._replace(parts=parts)),
-            number,
-            outcome,
-        )
+        call = system.calls[call_index]
+        parts = tuple((other, has_outcome or other == number, ran) for other, has_outcome, ran in call.parts)
+        confirmed = (*call.confirmed, number) if outcome is Outcome.OK else call.confirmed
+        after = self.with_call(system, call_index, call._replace(parts=parts, confirmed=confirmed))
+        return self.apply_outcome(after, number, outcome)
 
     def apply_outcome(self, system: SystemState, number: int, outcome: Outcome) -> SystemState:
         """Applies the outcome of an attempt to its message."""
@@ -475,13 +507,13 @@
                     f"the retry-after deadline of endpoint {endpoint_index} passes",
                     self.with_endpoint(system, endpoint_index, (False, drain)),
                 )
-            if drain < DRAINED:
+            if drain < DRAINED and self.size.endpoints_change:
                 text = "begins to drain" if drain == READY else "has drained for longer than its grace period"
                 yield (
                     f"endpoint {endpoint_index} {text}",
                     self.with_endpoint(system, endpoint_index, (wait, drain + 1)),
                 )
-            elif all(phase == DRAINED for _, phase in system.endpoints):
+            elif drain == DRAINED and all(phase == DRAINED for _, phase in system.endpoints):
                 yield (
                     f"endpoint {endpoint_index} is ready again",
                     self.with_endpoint(system, endpoint_index, (wait, READY)),
@@ -498,11 +530,20 @@
                     f"the window of message {number} closes",
                     self.with_message(system, number, window_open=False),
                 )
+        if system.pause_owed or system.key_paused:
+            yield "the pause of the key ends", system._replace(pause_owed=False, key_paused=False)
         if system.restart_count < self.size.restarts:
             yield "the process ends and starts again", self.restart(system)
 
     def restart(self, system: SystemState) -> SystemState:
         """Ends all calls; requests that were sent may still run. Messages continue as the store has them."""
+        unanswered = [number for call in system.calls if call.sent for number, _, _ in call.parts]
+        owed = system.pause_owed or any(number in self.size.keyed for number in unanswered)
+        begun = any(
+            system.messages[number].begun and system.messages[number].phase == HELD
+            for number in self.size.keyed
+        )
+        known = owed if self.records_pauses else begun
         for call in system.calls:
             for number, _, ran in call.parts:
                 if call.sent and not ran:
@@ -516,7 +557,10 @@
             system = self.with_message(system, number, risky=risky, begun=False)
         # the platform's rule: a restart ends retry-after deadlines
         endpoints = tuple((False, drain) for _, drain in system.endpoints)
-        return system._replace(calls=(), endpoints=endpoints, restart_count=system.restart_count + 1)
+        return system._replace(
+            calls=(), endpoints=endpoints, restart_count=system.restart_count + 1,
+            pause_owed=owed, key_paused=known or begun,
+        )  # fmt: skip
 
     def run_message(self, system: SystemState, number: int) -> SystemState:
         """Lets the message take effect. Raises PropertyViolated for an unsafe one that ran before."""
--- a/rainpier/attempt/mutants.py
+++ b/rainpier/attempt/mutants.py
@@ -104,18 +104,31 @@
             "a message that may not be written stays in its call",
             lambda model: replace(model, removes_blocked=False),
         ),
+        Mutant(
+            "the pause of a key counts from the outcome of a message",
+            lambda model: replace(model, pauses_at_call_end=False),
+        ),
+        Mutant(
+            "a key does not pause after an answer that can't be used",
+            lambda model: replace(model, pauses_without_usable_answer=False),
+        ),
+        Mutant(
+            "the pause of a key ends with the process", lambda model: replace(model, records_pauses=False)
+        ),
     ]
     return [*table_mutants(), *rule_mutants(), *model_mutants]
 
 
 # The smallest first: a mutant is explored in each until a property is violated. The fields are effects,
-# keyed, endpoints, max_attempts, restarts, batch and calls.
+# keyed, endpoints, max_attempts, restarts, batch, calls, endpoints_change and in_flight.
 MODEL_SIZES = (
     ModelSize((Effect.UNSAFE,), (), 1, 2, 1, 1, 1),
     ModelSize((Effect.KEYED,), (), 1, 2, 1, 1, 1),
     ModelSize((Effect.UNSAFE,), (), 1, 2, 0, 1, 2),
     ModelSize((Effect.UNSAFE, Effect.KEYED), (0, 1), 1, 1, 0, 1, 2),
     ModelSize((Effect.SAFE, Effect.UNSAFE), (), 1, 1, 0, 2, 1),
+    ModelSize((Effect.SAFE, Effect.SAFE), (0, 1), 1, 1, 1, 1, 1, False),
+    ModelSize((Effect.SAFE, Effect.SAFE, Effect.SAFE), (0, 1), 1, 1, 0, 2, 1, False, (0, 2)),
 )
 
 
