--- a/benchmarks/attempt_states.py
+++ b/benchmarks/attempt_states.py
@@ -14,7 +14,8 @@
 import sys
 import time
 
-from rainpier.attempt.explore import Model, ModelSize, explore
+from rainpier.attempt.explore import explore
+from rainpier.attempt.model import Model, ModelSize
 from rainpier.interface import Effect
 
 S, K, U = Effect.SAFE, Effect.KEYED, Effect.UNSAFE
--- a/rainpier/attempt/mutants.py
+++ b/rainpier/attempt/mutants.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, replace
 
 from ..interface import Effect, Outcome
-from .explore import ExplorationResult, Model, ModelSize, explore
+from .explore import ExplorationResult, explore
+from .model import Model, ModelSize
 from .rules import Rules
 from .table import TABLE, Event, State, Step
 
--- a/tests/attempt/test_explore.py
+++ b/tests/attempt/test_explore.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from rainpier.attempt.explore import PROPERTIES, ExplorationResult, Model, explore
+from rainpier.attempt.explore import ExplorationResult, explore
+from rainpier.attempt.model import PROPERTIES, Model
 from rainpier.attempt.mutants import MODEL_SIZES, explore_mutant, mutants
 from rainpier.attempt.table import TABLE, Attempt, Event, State
 from rainpier.interface import Outcome
