--- a/tests/store/test_key_pauses.py
+++ b/tests/store/test_key_pauses.py
@@ -4,9 +4,10 @@
 from standins.disk import Disk
 
 from rainpier.store import records as codec
+from rainpier.store.files import Folder
 from rainpier.store.state import KeyPause
 from rainpier.store.store import Store
-from rainpier.store.tool import dump
+from rainpier.store.tool import dump, stat
 
 from .test_full import resumes, total_size
 from .test_store import new_entry, open_store, restart
@@ -78,9 +79,7 @@
     assert restart(restarted).state.key_pauses == {5: FIRST}
 
 
-def test_dump_prints_the_pause_of_a_key(tmp_path):
-    from rainpier.store.files import Folder
-
+def test_stat_counts_the_pauses_of_keys_and_dump_prints_them(tmp_path):
     store = Store(Folder(tmp_path), 1_000_000, 1000.0)
     store.record_key_pause(42, FIRST)
     store.close()
@@ -88,3 +87,4 @@
         '"kind": "key_pause", "key": 42, "call_end": 1000.0, "duration": 400.0' in line
         for line in dump(tmp_path)
     )
+    assert stat(tmp_path)["key_pauses"] == 1
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -109,7 +109,8 @@
                 await client.request("POST", "/reports", b"", 0.1)
             for _ in range(3):
                 assert (await client.request("POST", "/reports", b"", 5.0)).status == 204
-            assert len(client.idle) <= MAX_IDLE and not client.idle[-1].suspect
+            # Each request opened one, since those before are in quarantine; suspect ones made room for them.
+            assert len(client.idle) <= MAX_IDLE and sum(not idle.suspect for idle in client.idle) == 3
             client.drop()
 
     run_with_timeout(scenario())
@@ -142,6 +143,25 @@
     run_with_timeout(scenario())
 
 
+def test_a_suspect_connection_is_used_after_one_in_quarantine_while_none_can_be_opened(monkeypatch):
+    async def scenario():
+        async with FallingSilent() as peer:
+            client = await client_with_idle_connections(peer, 2)
+            peer.fall_silent()
+            with pytest.raises(TimeoutError):
+                await client.request("POST", "/reports", b"", 0.1)
+            assert (await client.request("POST", "/reports", b"", 5.0)).matched
+
+            async def fail_open(address):
+                raise OSError(errno.ENETUNREACH, "Network is unreachable")
+
+            monkeypatch.setattr(Connection, "open", fail_open)
+            assert (await client.request("POST", "/reports", b"", 5.0)).status == 204
+            client.drop()
+
+    run_with_timeout(scenario())
+
+
 def port_of(transport_or_writer):
     """Returns the client's port of a connection, seen from either side."""
     name = "peername" if hasattr(transport_or_writer, "drain") else "sockname"
--- a/tests/test_key_pauses.py
+++ b/tests/test_key_pauses.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import logging
+import re
 from types import SimpleNamespace
 
 import pytest
@@ -75,7 +77,7 @@
 
 
 @contextlib.asynccontextmanager
-async def keyed_sender(tmp_path, receiver, kind="bulk", **settings):
+async def keyed_sender(tmp_path, receiver, kind="bulk", rules=RULES, **settings):
     """Runs a node with a pause of GAP_MS before one receiver, and yields it with its discovery and a client.
 
     `settings` replace entries of peers.SETTINGS.
@@ -83,7 +85,7 @@
     async with DiscoveryServer() as discovery:
         discovery.endpoints = [endpoint_entry("r1", receiver.address, kind=kind)]
         async with (
-            sender(tmp_path, discovery, rules=RULES, **settings) as node,
+            sender(tmp_path, discovery, rules=rules, **settings) as node,
             RespClient(node.port) as client,
         ):
             yield node, discovery, client
@@ -104,7 +106,9 @@
 
 # Guards against a key's next message that goes at once when a call given up after its message's deadline ends.
 @pytest.mark.parametrize("end", ["closed", "answered", "cancelled", "timed out"])
-def test_a_key_pauses_from_the_end_of_a_call_that_outlasted_its_message(tmp_path, end):
+def test_a_key_pauses_from_the_end_of_a_call_that_outlasted_its_message(tmp_path, end, caplog):
+    caplog.set_level(logging.DEBUG, "rainpier.events")
+
     async def scenario():
         gate = asyncio.get_running_loop().create_future()
         async with (
@@ -133,6 +137,8 @@
             await wait_until(lambda: not node.store.entries)
 
     run_with_timeout(scenario())
+    assert re.search("event=attempt_ended reason=timeout id=first .* call_open=True", caplog.text)
+    assert re.search("event=call_ended reason=outcomes_reported_before ids=first ", caplog.text)
 
 
 # Guards against a pause of a key that never ends, or that also holds messages of other keys.
@@ -214,6 +220,35 @@
     run_with_timeout(scenario())
 
 
+# Guards against pauses, and records of them, that nothing calls for.
+@pytest.mark.parametrize(
+    ("response", "turn_gap"),
+    [
+        ((500, [], b""), GAP_MS),
+        ((503, [], b""), GAP_MS),
+        ((200, [], b'[{"id":"other","state":"delivered"}]'), GAP_MS),
+        (None, 0.0),
+    ],
+    ids=["error", "refused", "left out of the answer", "reset, no pause configured"],
+)
+def test_a_key_does_not_pause_after_an_answer_or_where_no_pause_is_configured(tmp_path, response, turn_gap):
+    async def scenario():
+        rules = RULES | {"turn-gap": turn_gap}
+        async with (
+            KeyedReceiver(response) as receiver,
+            keyed_sender(tmp_path, receiver, rules=rules, **ONE_ATTEMPT) as (node, _, client),
+        ):
+            push, pushed = node.core.push, []
+            node.core.push = lambda event: (pushed.append(event), push(event))
+            await submit(client, ("first", "keyed", 20000, KEY), ("other", "safe", 20000, "0" * 16))
+            await submit(client, ("second", "keyed", 20000, KEY))
+            await wait_until(lambda: "second" in receiver.begun)
+            assert not node.store.state.key_pauses
+            assert not [event for event in pushed if isinstance(event, KeyPaused)]
+
+    run_with_timeout(scenario())
+
+
 # Guards against the same over AMQP: a publish whose confirm is still awaited by its call when its deadline passes.
 @pytest.mark.parametrize("end", ["confirmed", "broken off"])
 def test_a_key_pauses_from_the_end_of_a_publish_that_outlasted_its_message(tmp_path, end, monkeypatch):
@@ -359,6 +394,30 @@
     assert events == ([KeyPaused(42, left)] if left else [])
 
 
+# Guards against a pause that is not recorded: one publish of a call was broken off while the call went on.
+def test_the_pause_after_one_publish_of_a_call_is_recorded_while_the_call_goes_on(tmp_path):
+    async def scenario():
+        script = {"first": "close:504", "other": "hold"}
+        async with ScriptedBroker(lambda message: script.get(message, "ack")) as broker:
+            text = make_config_text({"orders": [broker.address]}, kind="batch = 20\nchannels = 8")
+            text += f'\n[rules]\nturn_gap = "{GAP_MS:.0f} ms"\n'
+            async with Station(tmp_path, text) as station:
+                assert await station.submit("warm", "notice", 1)
+                await wait_until(lambda: "warm" in broker.effects)
+                broker.block("low on memory")  # so that the next ones wait, and go in one call
+                await asyncio.sleep(0.05)
+                assert await station.submit("first", "render", 1, key=1, token="a")
+                assert await station.submit("other", "charge", 1)
+                broker.block("")
+                await wait_until(lambda: broker.held)
+                (call,) = station.node.calls.receivers.calls
+                assert {entry.id for entry in call.entries} == {"first", "other"}
+                await wait_until(lambda: 1 in station.node.store.state.key_pauses)
+                assert call.open
+
+    run_with_timeout(scenario())
+
+
 def test_a_publish_without_confirm_is_an_outcome_after_which_keys_pause():
     unanswered = {result for result, outcome in OUTCOME_BY_RESULT.items() if outcome in UNANSWERED_OUTCOMES}
     assert unanswered == {
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -211,11 +211,12 @@
     rig = Rig()
     rig.do(i.KeyPaused(5, 700.0))
     paused_at = rig.now
+    rig.do(i.KeyPaused(5, 100.0), after=50.0)
     assert sends(rig.arrive(1, cls=3, key=5)) == []
     assert sends(rig.arrive(2, cls=3, key=6)) == [2]
-    rig.do(i.KeyPaused(5, 100.0), after=50.0)
     (sent_at,) = [time for time, a in rig.run(1500) if isinstance(a, i.Send) and a.message == 1]
     assert paused_at + 700.0 < sent_at < paused_at + 750.0
+    assert not rig.sender.key_queues.paused_until  # nothing is kept of a pause that is over
 
 
 def test_a_pause_that_begins_before_the_final_status_is_acknowledged_holds_the_next_message():
