Fault runs: a response to a connection that its sender has closed was not sent

Cause: the check, not the sender. The scripted receiver noted the 429 as written although the sender had ended the call at its time-out and closed the connection before. The receiver had not read the end, or went on with its response nevertheless: an asyncio stream stays open when its peer closes. The sender was then held to a delay that it had not been sent.

Change: the receiver asks the kernel (POLLRDHUP) right before it writes. If the peer has closed, nothing is written and the call ends. Equally strict for responses that are sent; stricter for completions, since a 200 to a closed connection no longer counts as the completion of its message.

--- a/tests/standins/faults/receiver.py
+++ b/tests/standins/faults/receiver.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import random
+import select
 
 import h11
 from peers import TcpServer
@@ -14,6 +15,15 @@
 CallBatch = list[Call]  # the records of one call, one for each message in it
 
 
+def is_closed_by_peer(writer: asyncio.StreamWriter) -> bool:
+    """Returns whether the peer has closed its end of a connection, even if that has not been read yet."""
+    if writer.transport.is_closing():
+        return True
+    poller = select.poll()
+    poller.register(writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 class Receiver(TcpServer):
     """Gives each call a random outcome: delivered, an error, overloaded, retry-after, a reset or no response.
 
@@ -79,6 +89,8 @@
         if outcome == "reset":
             return False
         response = self.encode_response(outcome, calls)
+        if is_closed_by_peer(writer):  # the sender has given the call up, so that no response reaches it
+            return False
         writer.write(response)
         if writer.transport.is_closing():
             return False
--- a/tests/standins/faults/records.py
+++ b/tests/standins/faults/records.py
@@ -50,7 +50,9 @@
     # "ok" (status 200), "error" (500), "full" (503), "wait" (429 with a retry delay), "reset" (connection
     # closed without a response) or "hang" (no response until the sender closes the connection).
     outcome: str = ""
-    written: float | None = None  # when its response was written
+    written: float | None = (
+        None  # when its response was written; None: never, or its sender had closed the connection
+    )
     closed: float | None = None  # when it was no longer in flight: responded to, or its connection ended
     retry_after: float = 0.0  # s; the retry delay of the outcome "wait"
 
