Free what a client sent as soon as it is found to have left

Cause: the turn that finds a client gone aborts the transport, and connection_lost frees the buffer only in the next iteration of the event loop. What was just read, up to 64 KiB of each connection, is outside the account until then. The AMQP listener had the same.

Change: the buffer is dropped and the share released in that turn, on both listeners. The log record still names the bytes as unread_bytes.

--- a/rainpier/amqp/connection.py
+++ b/rainpier/amqp/connection.py
@@ -163,6 +163,10 @@
         if self.phase is not Phase.CLOSED:
             self.input += data
 
+    def discard_input(self) -> None:
+        """Drops the received bytes that are not processed."""
+        self.input.clear()
+
     def process(self, handle: Callable[[Event], None], may_continue: Callable[[], bool]) -> bool:
         """Processes the frames in the input; calls `handle` for each event before the next frame is parsed.
 
--- a/rainpier/fronts/amqp/server.py
+++ b/rainpier/fronts/amqp/server.py
@@ -111,9 +111,14 @@
             return False
         state = peer_state(self.transport.get_extra_info("socket"))
         self.peer_finished = self.peer_finished or state is PeerState.FINISHED
-        if state is PeerState.GONE:
-            self.transport.abort()
-        return state is PeerState.GONE
+        if state is not PeerState.GONE:
+            return False
+        # Freed before `connection_lost`, which follows in the next iteration of the event loop: where many
+        # clients leave together, what was just read from each would be held until then, unaccounted for.
+        self.protocol.discard_input()
+        self.update_share()
+        self.transport.abort()
+        return True
 
     def eof_received(self) -> bool:
         """Lets asyncio close the transport, unless there is input to process."""
--- a/rainpier/fronts/resp/connection.py
+++ b/rainpier/fronts/resp/connection.py
@@ -57,6 +57,7 @@
         self.listener, self.loop, self.sock = listener, listener.loop, sock
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()  # received and not handled yet
+        self.discarded_bytes = 0  # received, and discarded since the client was gone
         self.session = Session(listener.password)
         self.replies = ReplyQueue()
         self.unsent = 0  # bytes of replies that wait to be sent, at the last check
@@ -126,7 +127,8 @@
         reason = self.close_reason or ("error" if exc is not None else "client_closed")
         unanswered = len(self.replies)
         level = logging.INFO if unanswered else logging.DEBUG
-        fields = {"connection": self.session.id, "unanswered": unanswered, "unread_bytes": len(self.buffer)}
+        unread = self.discarded_bytes + len(self.buffer)
+        fields = {"connection": self.session.id, "unanswered": unanswered, "unread_bytes": unread}
         record("client_connection_closed", reason, level=level, **fields, error=exc or "")
 
     def pause_writing(self) -> None:
@@ -272,10 +274,22 @@
         self.peer_finished = self.peer_finished or state is PeerState.FINISHED
         if state is not PeerState.GONE or self.transport is None:
             return False
-        self.close_reason = self.close_reason or "client_left"
-        self.transport.abort()
+        self.abort_departed()
         return True
 
+    def abort_departed(self) -> None:
+        """Closes the connection of a client that is gone, and frees what it sent at once.
+
+        `connection_lost` follows only in the next iteration of the event loop. Where hundreds of clients
+        leave together, what was just read from each would be held until then, unaccounted for.
+        """
+        self.close_reason = self.close_reason or "client_left"
+        self.discarded_bytes = len(self.buffer)
+        self.buffer.clear()
+        self.update_share()
+        if self.transport is not None:
+            self.transport.abort()
+
     def resume_processing(self) -> None:
         """Continues after back-pressure, with the buffered requests before unread ones."""
         if self.buffer and not self.read_scheduled and not self.closing:
@@ -342,9 +356,7 @@
 
     def abandon(self) -> bool:
         """Closes a connection whose client sends no more of its incomplete request; returns True."""
-        self.close_reason = self.close_reason or "client_left"
-        if self.transport is not None:
-            self.transport.abort()
+        self.abort_departed()
         return True
 
     def read_rest(self, size: int) -> None:
--- a/tests/amqp/test_front.py
+++ b/tests/amqp/test_front.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 
 import aio_pika
 import pika
@@ -17,6 +19,7 @@
 from rainpier.amqp import frames
 from rainpier.amqp.channel import Properties
 from rainpier.demo.publisher import Publisher, PublisherClosed
+from rainpier.fronts.amqp.server import Connection
 
 BasicMethods, ExchangeMethods, QueueMethods = commands.Basic, commands.Exchange, commands.Queue
 EXCHANGE = "rainpier"
@@ -738,3 +741,26 @@
                 client_writer.close()
 
     run_with_timeout(scenario())
+
+
+def test_what_a_client_sent_is_freed_at_once_when_it_has_left(tmp_path, monkeypatch):
+    """Many that leave together would take the process over its memory limit, until their connections are released."""
+    input_at_release, release = [], Connection.connection_lost
+
+    def connection_lost(connection, exc):
+        input_at_release.append(len(connection.protocol.input))
+        release(connection, exc)
+
+    monkeypatch.setattr(Connection, "connection_lost", connection_lost)
+
+    async def scenario():
+        async with Station(tmp_path, make_config_text({"orders": ["127.0.0.1:9"]})) as station:
+            listener = station.amqp_listener
+            with socket.create_connection(("127.0.0.1", station.port)) as client:
+                await wait_until(lambda: listener.connections)
+                client.sendall(frames.PROTOCOL_HEADER + b"x" * 50_000)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await wait_until(lambda: not listener.connections)
+            assert input_at_release == [0]
+
+    run_with_timeout(scenario())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+import logging
 import os
+import re
 import socket
+import struct
 
 import pytest
 from peers import RespClient, encode_command, encode_submission, run_with_timeout, wait_until
 
-from rainpier.fronts.resp.connection import REQUEST_TIMEOUT_S
+from rainpier.fronts.resp.connection import REQUEST_TIMEOUT_S, Connection
 from rainpier.fronts.resp.server import RespListener
 from rainpier.submission import Accepted, RetryLater
 
@@ -573,6 +576,31 @@
     run_with_timeout(scenario())
 
 
+def test_what_a_client_sent_is_freed_at_once_when_it_has_left(monkeypatch, caplog):
+    """Hundreds that left together took the process over its memory limit, until their connections were released."""
+    caplog.set_level(logging.DEBUG, "rainpier.events")
+    held_at_release, release = [], Connection.connection_lost
+
+    def connection_lost(connection, exc):
+        held_at_release.append((len(connection.buffer), connection.share.held))
+        release(connection, exc)
+
+    monkeypatch.setattr(Connection, "connection_lost", connection_lost)
+    request = encode_submission("a", body=b"x" * 60_000)
+
+    async def scenario():
+        async with running_listener() as (listener, submitted):
+            with socket.create_connection(("127.0.0.1", listener.port)) as client:
+                await wait_until(lambda: listener.connections)
+                client.sendall(request)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await wait_until(lambda: not listener.connections)
+            assert held_at_release == [(0, 0)] and not submitted
+
+    run_with_timeout(scenario())
+    assert re.search(rf"reason=client_left .* unread_bytes={len(request)}\b", caplog.text)
+
+
 def test_a_request_that_has_arrived_is_handled_while_no_memory_is_left():
     async def scenario():
         async with running_listener() as (listener, submitted), RespClient(listener.port) as client:
