Tests of departed clients also find a share that is not released

Change: the tests send a part first, so that it is accounted for, and check buffer and share when the connection is lost; the test of a request that waits for memory checks both too. Also one comment of a record, in one line.

No product code changed.

--- a/tests/amqp/test_front.py
+++ b/tests/amqp/test_front.py
@@ -745,10 +745,10 @@
 
 def test_what_a_client_sent_is_freed_at_once_when_it_has_left(tmp_path, monkeypatch):
     """Many that leave together would take the process over its memory limit, until their connections are released."""
-    input_at_release, release = [], Connection.connection_lost
+    held_at_release, release = [], Connection.connection_lost
 
     def connection_lost(connection, exc):
-        input_at_release.append(len(connection.protocol.input))
+        held_at_release.append((len(connection.protocol.input), connection.share.held))
         release(connection, exc)
 
     monkeypatch.setattr(Connection, "connection_lost", connection_lost)
@@ -757,10 +757,11 @@
         async with Station(tmp_path, make_config_text({"orders": ["127.0.0.1:9"]})) as station:
             listener = station.amqp_listener
             with socket.create_connection(("127.0.0.1", station.port)) as client:
-                await wait_until(lambda: listener.connections)
-                client.sendall(frames.PROTOCOL_HEADER + b"x" * 50_000)
+                client.sendall(frames.PROTOCOL_HEADER[:4])
+                await wait_until(lambda: any(c.share.held == 4 for c in listener.connections))
+                client.sendall(frames.PROTOCOL_HEADER[4:] + b"x" * 50_000)
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             await wait_until(lambda: not listener.connections)
-            assert input_at_release == [0]
+            assert held_at_release == [(0, 0)]
 
     run_with_timeout(scenario())
--- a/tests/standins/faults/records.py
+++ b/tests/standins/faults/records.py
@@ -50,9 +50,7 @@
     # "ok" (status 200), "error" (500), "full" (503), "wait" (429 with a retry delay), "reset" (connection
     # closed without a response) or "hang" (no response until the sender closes the connection).
     outcome: str = ""
-    written: float | None = (
-        None  # when its response was written; None: never, or its sender had closed the connection
-    )
+    written: float | None = None  # when its response was written; None: it was not written
     closed: float | None = None  # when it was no longer in flight: responded to, or its connection ended
     retry_after: float = 0.0  # s; the retry delay of the outcome "wait"
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -559,7 +559,20 @@
     run_with_timeout(scenario())
 
 
-def test_a_client_that_leaves_while_its_request_waits_for_memory_is_closed_at_once():
+@pytest.fixture
+def held_at_release(monkeypatch):
+    """Returns a list of what each connection still holds when it is lost: bytes in its buffer and in its share."""
+    held, release = [], Connection.connection_lost
+
+    def connection_lost(connection, exc):
+        held.append((len(connection.buffer), connection.share.held))
+        release(connection, exc)
+
+    monkeypatch.setattr(Connection, "connection_lost", connection_lost)
+    return held
+
+
+def test_a_client_that_leaves_while_its_request_waits_for_memory_is_closed_at_once(held_at_release):
     """It kept its connection until the time limit of the request, as its end was never read."""
 
     async def scenario():
@@ -572,27 +585,22 @@
             begun = asyncio.get_running_loop().time()
             await wait_until(lambda: not listener.connections)
             assert asyncio.get_running_loop().time() - begun < REQUEST_TIMEOUT_S / 2 and not submitted
+            assert held_at_release == [(0, 0)]
 
     run_with_timeout(scenario())
 
 
-def test_what_a_client_sent_is_freed_at_once_when_it_has_left(monkeypatch, caplog):
+def test_what_a_client_sent_is_freed_at_once_when_it_has_left(held_at_release, caplog):
     """Hundreds that left together took the process over its memory limit, until their connections were released."""
     caplog.set_level(logging.DEBUG, "rainpier.events")
-    held_at_release, release = [], Connection.connection_lost
-
-    def connection_lost(connection, exc):
-        held_at_release.append((len(connection.buffer), connection.share.held))
-        release(connection, exc)
-
-    monkeypatch.setattr(Connection, "connection_lost", connection_lost)
     request = encode_submission("a", body=b"x" * 60_000)
 
     async def scenario():
         async with running_listener() as (listener, submitted):
             with socket.create_connection(("127.0.0.1", listener.port)) as client:
-                await wait_until(lambda: listener.connections)
-                client.sendall(request)
+                client.sendall(request[:20_000])
+                await wait_until(lambda: any(c.share.held == 20_000 for c in listener.connections))
+                client.sendall(request[20_000:])
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             await wait_until(lambda: not listener.connections)
             assert held_at_release == [(0, 0)] and not submitted
