Know zones by name: in the store, and where no list has the name

Cause: an attempt was stored with its zone's position in the configured list, and the next process compared it with positions in its own list. EndpointRegistry.register also gave position 0, the first zone's, to every zone that the list lacks, so that on the platform no edit is needed.

Change: the store has the zone's name and a CRC-32 of the endpoint's name for each attempt (ATTEMPT records, PLACED messages; format 6 reads 1 to 5, and earlier programs refuse it). node/zones.py numbers zones for the policy within one process: listed ones by position, any other name by a number of its own. Node and rules compare names. A position in a folder of an earlier build refers to a list that nobody kept: its zone is not known, and what may have run there by zone is given up at once. A zone without a zone_fee costs as much as the dearest; it raised IndexError. The debug record of an attempt names its zone. PROGRESS_SIZE is larger by three names of 12 bytes.

Tests that passed a position to record_attempts pass a place; test_tool expects the record's new kind.

--- a/benchmarks/store_backings.py
+++ b/benchmarks/store_backings.py
@@ -20,13 +20,14 @@
 from journal_0_1 import Entry as JournalEntry
 from journal_0_1 import Journal
 
-from rainpier.store.entry import Entry
+from rainpier.store.entry import AttemptPlace, Entry
 from rainpier.store.files import Folder
 from rainpier.store.store import Store
 
 # DISK_LIMIT: bytes of the folder; HELD: messages held at a time; ROUNDS: runs of each backing
 DISK_LIMIT, HELD, ROUNDS = 3_000_000, 100, 4
 BODY_SIZES = (200, 1024)  # bytes
+PLACE = AttemptPlace("north", 1)  # of the attempts
 
 
 def new_entry(number: int, size: int) -> Entry:
@@ -49,7 +50,7 @@
         self.store.next_number = max(self.store.next_number, e.number + 1)
 
     def begin(self, e: Entry) -> None:
-        assert self.store.record_attempts([e], 2000.0, 0)
+        assert self.store.record_attempts([e], 2000.0, PLACE)
 
     def complete(self, e: Entry) -> None:
         self.store.complete([e])
--- a/benchmarks/store_pauses.py
+++ b/benchmarks/store_pauses.py
@@ -18,12 +18,13 @@
 from journal_0_1 import Entry as JournalEntry
 from journal_0_1 import Journal
 
-from rainpier.store.entry import Entry
+from rainpier.store.entry import AttemptPlace, Entry
 from rainpier.store.files import Folder
 from rainpier.store.store import Store
 
 BODY_SIZE = 4096  # bytes
 MB = 1_000_000
+PLACE = AttemptPlace("north", 1)  # of the attempts; the journal has the position of a zone
 
 
 def new_entry(entry_type: type, number: int) -> Entry | JournalEntry:
@@ -41,7 +42,7 @@
         started = time.perf_counter()
         assert backing.accept(entry)
         entry.attempts = 1
-        assert backing.record_attempts([entry], 2000.0, 0)
+        assert backing.record_attempts([entry], 2000.0, PLACE if isinstance(backing, Store) else 0)
         backing.complete([entry])
         backing.reclaim(2000.0)
         times.append(time.perf_counter() - started)
--- a/rainpier/attempt/rules.py
+++ b/rainpier/attempt/rules.py
@@ -63,17 +63,23 @@
 RULES = Rules()
 
 
-def in_repeat_window(entry: Entry, now: float, zone: int) -> bool:
-    """Whether the repeat window is open at `now` (Unix ms) and endpoints of the zone remember the key."""
-    return now <= entry.risky_at + entry.window and (entry.group != "zone" or entry.risky_zone == zone)
+def window_open(entry: Entry, now: float) -> bool:
+    """Whether the repeat window is open at `now`, Unix ms."""
+    return now <= entry.risky_at + entry.window
 
 
-def may_repeat(entry: Entry, now: float, zone: int) -> bool:
-    """Whether the message's class allows an attempt at an endpoint in the zone."""
-    return RULES.may_repeat(Effect(entry.effect), entry.risky_at > 0, in_repeat_window(entry, now, zone))
+def remembers_key(entry: Entry, zone: str) -> bool:
+    """Whether endpoints in the zone with this name remember the message's key."""
+    return entry.group != "zone" or entry.risky_place.zone == zone
+
+
+def may_repeat(entry: Entry, now: float, zone: str) -> bool:
+    """Whether the message's class allows an attempt at an endpoint in the zone with this name."""
+    in_window = window_open(entry, now) and remembers_key(entry, zone)
+    return RULES.may_repeat(Effect(entry.effect), entry.risky_at > 0, in_window)
 
 
 def may_resubmit(entry: Entry, now: float) -> bool:
     """Whether the message may be handed back, so that its client submits it again."""
-    open_window = in_repeat_window(entry, now, entry.risky_zone)
-    return RULES.may_resubmit(Effect(entry.effect), entry.risky_at > 0, open_window, entry.group == "all")
+    risky, known_everywhere = entry.risky_at > 0, entry.group == "all"
+    return RULES.may_resubmit(Effect(entry.effect), risky, window_open(entry, now), known_everywhere)
--- a/rainpier/backlog.py
+++ b/rainpier/backlog.py
@@ -73,13 +73,15 @@
         """Time (ms) until which it may be sent again, after an attempt that may have taken effect."""
         if self.maybe_ran_at == math.inf or self.cls.effect is Effect.SAFE:
             return math.inf
-        until = self.maybe_ran_at + self.cls.repeat_window - KEY_MARGIN_MS
-        return until if self.cls.effect is Effect.KEYED else -math.inf
+        zone_lost = self.cls.group == "zone" and self.maybe_ran_zone == i.UNKNOWN_ZONE
+        if self.cls.effect is not Effect.KEYED or zone_lost:
+            return -math.inf
+        return self.maybe_ran_at + self.cls.repeat_window - KEY_MARGIN_MS
 
     @property
-    def bound_zone(self) -> int:
-        """The only zone that it may be sent to, since its key is known there; -1: any."""
-        return self.maybe_ran_zone if self.cls.group == "zone" and self.repeat_until < math.inf else -1
+    def bound_zone(self) -> int | None:
+        """The only zone that it may be sent to, since its key is known there; None: any."""
+        return self.maybe_ran_zone if self.cls.group == "zone" and self.repeat_until < math.inf else None
 
     def half_life_at(self) -> float:
         """Returns the time at which half of its life, from its submission to its deadline, is over.
@@ -227,7 +229,7 @@
         expired: list[Message] = []  # must not be sent again, see Message.repeat_until
         for lane in self.lanes.values():
             if (
-                lane.zone not in (-1, zone)
+                lane.zone not in (None, zone)
                 or fitting_classes is not None
                 and lane.class_number not in fitting_classes
             ):
--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -130,6 +130,7 @@
     cold: float = 10000.0  # time until a cold destination has its full capacity
     turn_gap: float = 0.0  # pause of a key after an attempt that may still be running
     # By zone: cost of a message accepted by a kind with `apart`. Costs are only compared: the lowest is used.
+    # A zone without one costs as much as the dearest.
     zone_fee: tuple[float, ...] = ()
     report_fields: tuple[str, ...] = ()  # names of the values in Result.report, in their order
     rates_rough: bool = False  # the rates from endpoint discovery are approximate
@@ -160,6 +161,7 @@
 # --- events ---
 
 NO_TENANT = -1  # messages of this tenant count against no quota
+UNKNOWN_ZONE = -1  # of an attempt in a zone that is not known any more; no endpoint is in it
 
 
 @dataclass(slots=True, frozen=True)
@@ -199,7 +201,7 @@
     arrival: Arrival
     attempts: int = 0  # attempts made so far
     risky_at: float = math.inf  # when the first attempt that may have taken effect was sent; infinity: none
-    risky_zone: int = 0  # zone of the endpoint of that attempt
+    risky_zone: int = 0  # zone of the endpoint of that attempt, or UNKNOWN_ZONE
     interrupted: bool = False  # an attempt was in flight when that process ended
     ended: bool = False  # its final status is decided but not yet acknowledged: it only blocks its key
     effect: Effect = Effect.SAFE  # rules at acceptance (with `group` and `repeat_window`); they still apply
--- a/rainpier/node/call_log.py
+++ b/rainpier/node/call_log.py
@@ -18,9 +18,13 @@
 
 
 def log_attempt(call: Call, entry: Entry, attempt: int, outcome: i.Outcome) -> None:
-    """Counts and logs the outcome of an attempt; `call_open`: its call goes on for other messages."""
+    """Counts and logs the outcome of an attempt; `call_open`: its call goes on for other messages.
+
+    `zone`: of the message's last attempt that began.
+    """
     fields = {"id": entry.id, "attempt": attempt, "endpoint": call.receiver.name,
-              "connection": call.connection, "use": call.uses, "call_open": call.open}  # fmt: skip
+              "zone": entry.begun_place.zone, "connection": call.connection, "use": call.uses,
+              "call_open": call.open}  # fmt: skip
     record("attempt_ended", outcome.name.lower(), level=logging.DEBUG, **fields)
 
 
--- a/rainpier/node/core.py
+++ b/rainpier/node/core.py
@@ -12,6 +12,7 @@
 from ..store.commit import GroupCommit
 from ..store.files import Folder
 from ..store.store import Store
+from .zones import ZoneNumbers
 
 
 class Core:
@@ -32,6 +33,7 @@
         ahead = self.store.opened_at - wall
         record("clock", "wall" if not reading.boot else "monotonic", ahead_of_wall_ms=round(ahead))
         self.commit = GroupCommit(self.store)
+        self.zones = ZoneNumbers(config.zones)
         self.classes: dict[str, int] = {}  # class numbers by name
         self.index_classes()
         # By number and by name, of the configured destinations; empty on the platform, which has no names.
--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -42,9 +42,9 @@
 
     def removed_endpoint(self, name: str) -> DiscoveredEndpoint:
         """Builds the entry, with condition GONE, for a known endpoint that a full update lacks."""
-        receiver, config = self.receivers.by_number[self.numbers[name]], self.core.config
+        receiver = self.receivers.by_number[self.numbers[name]]
         entry, (host, port) = receiver.entry, receiver.address
-        zone = config.zones[entry.zone] if entry.zone < len(config.zones) else ""
+        zone = self.core.zones.name(entry.zone)
         kind, rate = self.core.settings.kinds[entry.kind].name, entry.rate or 0.0
         address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         return DiscoveredEndpoint(
@@ -85,7 +85,7 @@
         Returns None, and logs an error, for an unknown kind or an invalid address; also None for an endpoint
         that is gone and was not known.
         """
-        kinds, zones = self.kinds, self.core.config.zones
+        kinds, zones = self.kinds, self.core.zones
         if endpoint.kind not in kinds:
             log.error("discovery: endpoint %s skipped: unknown class: %s", endpoint.name, endpoint.kind)
             return None
@@ -97,7 +97,7 @@
         number = self.assign_number(endpoint)
         if number is None:
             return None
-        zone = zones.index(endpoint.zone) if endpoint.zone in zones else 0
+        zone = zones.number(endpoint.zone)
         rate = endpoint.rate if self.core.config.rated else None
         entry = i.EndpointEntry(
             number,
@@ -109,6 +109,10 @@
             endpoint.started_at,
         )
         known = self.receivers.by_number.get(number)
+        if known is None or known.entry.zone != zone:
+            zones.add_endpoint(zone)
+            if known is not None:
+                zones.remove_endpoint(known.entry.zone)
         if known is None or known.entry.destination != endpoint.destination:
             self.destinations[endpoint.destination] += 1
             if known is not None:
@@ -145,3 +149,4 @@
                 if self.numbers.get(receiver.name) == number:
                     del self.numbers[receiver.name]
                 self.decrement_receivers(receiver.entry.destination)
+                self.core.zones.remove_endpoint(receiver.entry.zone)
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import logging
+import zlib
 from collections.abc import Iterable
 
 from .. import interface as i
 from ..attempt.rules import RULES, may_repeat
-from ..carriers.http.receivers import Call, CallResult, Receivers, Transports, split_batches
+from ..carriers.http.receivers import Call, CallResult, Receiver, Receivers, Transports, split_batches
 from ..observe.events import record
-from ..store.entry import Entry
+from ..store.entry import AttemptPlace, Entry
 from .call_log import log_attempt, log_call, log_held_back
 from .completions import Completions
 from .core import Core
@@ -99,7 +100,7 @@
         if receiver is None:
             return
         stored = [self.store.entries[message] for message in timeouts if message in self.store.entries]
-        allowed = [entry for entry in stored if self.may_begin(entry, receiver.entry)]
+        allowed = [entry for entry in stored if self.may_begin(entry, receiver)]
         for entries in split_batches(allowed, receiver.batch):
             longest = max(timeouts[entry.number] for entry in entries)
             call = Call(receiver, entries, [entry.attempts for entry in entries], now, now + longest / 1000)
@@ -121,9 +122,11 @@
 
     # --- before the first byte ---
 
-    def may_begin(self, entry: Entry, endpoint: i.EndpointEntry) -> bool:
+    def may_begin(self, entry: Entry, receiver: Receiver) -> bool:
         """Whether an attempt may begin. If the rules forbid it, logs that and reports the outcome MOOT."""
-        repeat = may_repeat(entry, self.core.now, endpoint.zone) and entry.destination == endpoint.destination
+        zone = self.zone_of(receiver)
+        endpoint = receiver.entry
+        repeat = may_repeat(entry, self.core.now, zone) and entry.destination == endpoint.destination
         if RULES.may_begin(entry.number in self.by_message, bool(entry.end), repeat):
             return True
         log.error(
@@ -144,7 +147,7 @@
         """
         if not self.may_proceed(call):
             return False
-        if not self.store.record_attempts(call.entries, self.core.now, call.receiver.entry.zone):
+        if not self.store.record_attempts(call.entries, self.core.now, self.place_of(call.receiver)):
             log_held_back(call, "not_recorded")
             self.report_store_state()
             return False
@@ -161,7 +164,7 @@
         Endpoints, drains, retry-after deadlines, final statuses and repeat windows may have changed since the
         call was started, while it connected or its records were synced.
         """
-        endpoint, now = call.receiver.entry, self.core.now
+        endpoint, now, zone = call.receiver.entry, self.core.now, self.zone_of(call.receiver)
         # Half of the grace period has passed since the drain. drain_grace is in ms, loop times in s.
         drained = (
             self.core.loop.time() - call.receiver.drain_notified_at > self.core.settings.drain_grace / 2000
@@ -174,11 +177,19 @@
             return False
         for entry in list(call.entries):
             served = entry.destination == endpoint.destination  # an update may have reassigned the endpoint
-            repeat = may_repeat(entry, now, endpoint.zone)
+            repeat = may_repeat(entry, now, zone)
             if not served or not RULES.may_write(waiting, drained, bool(entry.end), repeat):
                 self.remove_from_call(call, entry)
         return bool(call.entries)
 
+    def zone_of(self, receiver: Receiver) -> str:
+        """Returns the name of a receiver's zone."""
+        return self.core.zones.name(receiver.entry.zone)
+
+    def place_of(self, receiver: Receiver) -> AttemptPlace:
+        """Returns what the store records of the receiver of an attempt."""
+        return AttemptPlace(self.zone_of(receiver), zlib.crc32(receiver.name.encode()))
+
     def remove_from_call(self, call: Call, entry: Entry) -> None:
         """Ends the attempt of a message, of which no byte was written, and takes it out of its call."""
         index = next(at for at, other in enumerate(call.entries) if other is entry)
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -116,10 +116,10 @@
             return
         tenant = self.core.tenants.get(entry.tenant, i.NO_TENANT)
         arrival = i.Arrival(entry.number, cls, entry.destination, entry.deadline, entry.key, tenant)
-        risky_at = entry.risky_at or math.inf
+        risky_at, risky_zone = entry.risky_at or math.inf, self.core.zones.number(entry.risky_place.zone)
         self.rounds.push(
             i.Resumed(
-                arrival, entry.attempts, risky_at, entry.risky_zone, interrupted, bool(entry.end),
+                arrival, entry.attempts, risky_at, risky_zone, interrupted, bool(entry.end),
                 i.Effect(entry.effect), entry.group, entry.window,
             )
         )  # fmt: skip
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -1376,8 +1376,8 @@
             elif state.circuit_open and self.open_circuit_slots >= self.max_open_circuit_slots:
                 self.enqueue_probe(destination)
             elif endpoint := self.choose_endpoint(state):
-                zone, kind = endpoint.entry.zone, self.settings.kinds[endpoint.entry.kind]
-                fee = self.settings.zone_fee[zone] if kind.apart and self.settings.zone_fee else 0.0
+                is_apart = self.settings.kinds[endpoint.entry.kind].apart
+                fee = self.zone_fee(endpoint.entry.zone) if is_apart else 0.0
                 # In the order of preference: the state with the smallest tuple is used.
                 ready.append(
                     (
@@ -1405,6 +1405,11 @@
             check_at = min(check_at, backlog.next_at(now, uncertain))
         self.check_times.set(destination, check_at)
 
+    def zone_fee(self, zone: int) -> float:
+        """Returns the cost of a message in the zone; the highest one where settings have none for it."""
+        fees = self.settings.zone_fee
+        return fees[zone] if zone < len(fees) else max(fees, default=0.0)
+
     def choose_endpoint(self, state: DestinationState) -> Endpoint | None:
         """Returns the endpoint for the next call; None: none is ready.
 
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -6,6 +6,21 @@
 from ..interface import Outcome
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptPlace:
+    """Where an attempt was made, in terms that no edit of the configuration changes.
+
+    `zone`: name of the endpoint's zone; None: not known, so that no endpoint is known to be in it.
+    `endpoint`: CRC-32 of the endpoint's name; 0: not known.
+    """
+
+    zone: str | None = None
+    endpoint: int = 0
+
+
+UNKNOWN_PLACE = AttemptPlace()
+
+
 @dataclass(slots=True)
 class Entry:
     """One message that is not completed yet. Times are Unix time in ms, on the timeline of clock.py."""
@@ -20,9 +35,9 @@
     body: bytes
     attempts: int = 0  # begun so far
     begun: float = 0.0  # start of the attempt that has no outcome yet; 0: none
-    begun_zone: int = 0  # zone of that attempt's endpoint
+    begun_place: AttemptPlace = UNKNOWN_PLACE  # of that attempt
     risky_at: float = 0.0  # start of the first attempt that may have run; 0: none
-    risky_zone: int = 0  # zone of that attempt's endpoint
+    risky_place: AttemptPlace = UNKNOWN_PLACE  # of that attempt
     end: str = ""  # the decided final status, which the completion notification carries
     retry: int = 0  # ms after which the client may submit again, sent with the final status
     effect: int = 0  # the strictest Effect that its class had since acceptance, with its group and window
@@ -36,7 +51,7 @@
     def record_outcome(self, outcome: Outcome) -> None:
         """Closes the open attempt with this outcome."""
         if RULES.risky(False, outcome) and not self.risky_at:
-            self.risky_at, self.risky_zone = self.begun, self.begun_zone
+            self.risky_at, self.risky_place = self.begun, self.begun_place
         self.begun = 0.0
 
     @property
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -20,21 +20,26 @@
 from enum import IntEnum
 
 from .clock import BOOT_ID_SIZE, ClockAnchor, ClockReading
-from .entry import Entry
+from .entry import UNKNOWN_PLACE, AttemptPlace, Entry
 
-MAGIC, VERSION = b"RPSTORE\n", 5
-# Version 2 added reply queues to messages, 3 tenants, 4 CLOCK records, and 5 KEY_PAUSE records.
-READABLE_VERSIONS = (1, 2, 3, 4, 5)
+MAGIC, VERSION = b"RPSTORE\n", 6
+# Version 2 added reply queues to messages, 3 tenants, 4 CLOCK records, 5 KEY_PAUSE records, and 6 the places
+# of attempts (ATTEMPT records, PLACED messages) instead of positions in the list of zones.
+READABLE_VERSIONS = (1, 2, 3, 4, 5, 6)
 HEADER, FRAME = struct.Struct("<8sHHIQI"), struct.Struct("<III")
 CRC, FRAME_REST = struct.Struct("<I"), struct.Struct("<II")
 HEADER_SIZE = HEADER.size + CRC.size
 MAX_PAYLOAD = (1 << 24) - 1  # bytes; the frame has 24 bits for the length
 # The fixed part of each payload, and what follows it. Times are in ms on the timeline of clock.py.
 #   MESSAGE    number, deadline, destination, class version, flags, bytes of the id, bytes of the token; then,
-#              each only if its flag is set: PROGRESS, ordering key, reply queue with correlation id, tenant
-#              (the lengths of these texts come first, a byte each); then the id, the token and the body
-#   PROGRESS   attempts, begun, begun_zone, risky_at, risky_zone, end, retry
-#   BEGIN      time, zone; then a BEGUN for each message: number, attempts
+#              each only if its flag is set: PROGRESS, the PLACE of the open attempt, that of the risky one,
+#              ordering key, reply queue with correlation id, tenant (the lengths of these texts come first, a
+#              byte each); then the id, the token and the body
+#   PROGRESS   attempts, begun, position of its zone, risky_at, position of its zone, end, retry; the
+#              positions are 0 since version 6, and those of earlier builds refer to a list that is not known
+#   PLACE      CRC-32 of the endpoint's name, bytes of the zone's name or UNKNOWN_ZONE_SIZE; then that name
+#   BEGIN      time, position of the zone; then a BEGUN for each message: number, attempts; until version 5
+#   ATTEMPT    time; then a PLACE; then a BEGUN for each message
 #   RESULT     number, outcome; repeated for each message
 #   END        number, end, retry
 #   SEEN       time, 1 if the message was repeatable, else 0; then the id
@@ -48,6 +53,8 @@
 # NEXT is a U64, OVER a list of them, and NAMES a JSON object.
 MESSAGE, PROGRESS, U64 = struct.Struct("<QdIHBBB"), struct.Struct("<IdHdHBI"), struct.Struct("<Q")
 BEGIN, BEGUN, RESULT = struct.Struct("<dH"), struct.Struct("<QI"), struct.Struct("<QB")
+ATTEMPT, PLACE = struct.Struct("<d"), struct.Struct("<IH")
+UNKNOWN_ZONE_SIZE = 0xFFFF  # in a PLACE: the zone is not known, and no name follows
 END, SEEN, TIME, CLASS = (
     struct.Struct("<QBI"),
     struct.Struct("<dB"),
@@ -58,8 +65,8 @@
 CLOCK = struct.Struct(f"<dd{BOOT_ID_SIZE}s")
 KEY_PAUSE = struct.Struct("<Qdd")
 # Flags of a MESSAGE record: its id and its token are hexadecimal digits, packed two to a byte; it has an
-# ordering key, a PROGRESS, a reply queue, a tenant.
-HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT = 1, 2, 4, 8, 16, 32
+# ordering key, a PROGRESS, a reply queue, a tenant, the places of its attempts.
+HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT, PLACED = 1, 2, 4, 8, 16, 32, 64
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 ENDS = ("", GIVEN_UP, HANDED_BACK)  # final statuses; records hold the position
 GROUPS = ("all", "zone")  # records hold the position
@@ -70,7 +77,7 @@
 
     CLASS = 1  # declares a class version that messages refer to: number, effect, group, window, name
     MESSAGE = 2  # an accepted message, or a relocated one with its progress so far
-    BEGIN = 3  # an attempt of each of these messages is about to be written to its receiver
+    BEGIN = 3  # as ATTEMPT, in folders of earlier builds
     RESULT = 4  # outcomes of attempts after which the messages are not completed yet
     END = 5  # a decided final status; up to the deadline it is recorded before anyone is notified of it
     OVER = 6  # these messages are completed
@@ -84,6 +91,7 @@
     UPGRADED = 14  # size and checksum of the journal of 0.1.0 that this segment was converted from
     CLOCK = 15  # the timeline's time at a reading of the monotonic clock
     KEY_PAUSE = 16  # a call that may still be running ended, or goes on; its key pauses from its end
+    ATTEMPT = 17  # an attempt of each of these messages is about to be written to its receiver
 
 
 class Unreadable(ValueError):
@@ -187,6 +195,8 @@
         Kind.END: END.size, Kind.NEXT: U64.size, Kind.START: START.size, Kind.UPGRADED: UPGRADED.size,
         Kind.CLOCK: CLOCK.size,
     }  # fmt: skip
+    if kind == Kind.ATTEMPT:  # the name of the zone may have any length
+        return length >= ATTEMPT.size + PLACE.size + BEGUN.size
     if item_list is not None:
         return length >= item_list[0] and (length - item_list[0]) % item_list[1] == 0
     return kind in iter(Kind) and length == fixed.get(kind, length)
@@ -266,11 +276,10 @@
         flags |= KEYED
         parts.insert(0, U64.pack(e.key))
     if e.attempts or e.end or e.risky_at or e.begun:
-        flags |= SNAPSHOT
-        end = ENDS.index(e.end)
-        parts.insert(0, PROGRESS.pack(
-            e.attempts, e.begun, e.begun_zone, e.risky_at, e.risky_zone, end, min(e.retry, 0xFFFFFFFF)
-        ))  # fmt: skip
+        flags |= SNAPSHOT | PLACED
+        end, retry = ENDS.index(e.end), min(e.retry, 0xFFFFFFFF)
+        progress = PROGRESS.pack(e.attempts, e.begun, 0, e.risky_at, 0, end, retry)
+        parts.insert(0, progress + encode_place(e.begun_place) + encode_place(e.risky_place))
     fixed = MESSAGE.pack(e.number, e.deadline, e.destination, cls, flags, len(ident), len(token))
     return b"".join([fixed, *parts])
 
@@ -285,6 +294,10 @@
     if flags & SNAPSHOT:
         progress = PROGRESS.unpack_from(data, at)
         at += PROGRESS.size
+    begun_place = risky_place = UNKNOWN_PLACE
+    if flags & PLACED:
+        begun_place, at = decode_place(data, at)
+        risky_place, at = decode_place(data, at)
     if flags & KEYED:
         (key,) = U64.unpack_from(data, at)
         at += U64.size
@@ -307,14 +320,58 @@
         number, ident.hex() if flags & HEX_ID else ident.decode(), name, destination, key,
         token.hex() if flags & HEX_TOKEN else token.decode(), deadline, body,
         effect=effect, group=group, window=window, reply_to=reply_to, correlation=correlation, tenant=tenant,
+        begun_place=begun_place, risky_place=risky_place,
     )  # fmt: skip
     if progress:
-        (entry.attempts, entry.begun, entry.begun_zone, entry.risky_at, entry.risky_zone, end,
-         entry.retry) = progress  # fmt: skip
+        entry.attempts, entry.begun, _, entry.risky_at, _, end, entry.retry = progress
         entry.end = ENDS[end]
     return entry
 
 
+def encode_place(place: AttemptPlace) -> bytes:
+    """Encodes a PLACE."""
+    if place.zone is None:
+        return PLACE.pack(place.endpoint, UNKNOWN_ZONE_SIZE)
+    name = place.zone.encode()
+    return PLACE.pack(place.endpoint, len(name)) + name
+
+
+def decode_place(data: bytes, at: int) -> tuple[AttemptPlace, int]:
+    """Decodes the PLACE at the offset `at`; returns it and the offset behind it. Raises Unreadable."""
+    endpoint, size = PLACE.unpack_from(data, at)
+    at += PLACE.size
+    if size == UNKNOWN_ZONE_SIZE:
+        return AttemptPlace(None, endpoint), at
+    if at + size > len(data):
+        raise Unreadable(f"name of a zone of {size} bytes, {len(data) - at} are left")
+    return AttemptPlace(data[at : at + size].decode(), endpoint), at + size
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptRecord:
+    """The payload of an ATTEMPT record, or of a BEGIN record, whose place is not known."""
+
+    time: float  # Unix ms
+    place: AttemptPlace
+    attempts: list[tuple[int, int]]  # number of each message, and its attempts so far
+
+
+def encode_attempt(attempt: AttemptRecord) -> bytes:
+    """Encodes the payload of an ATTEMPT record."""
+    items = b"".join(BEGUN.pack(*item) for item in attempt.attempts)
+    return ATTEMPT.pack(attempt.time) + encode_place(attempt.place) + items
+
+
+def decode_attempt(kind: int, data: bytes) -> AttemptRecord:
+    """Decodes the payload of an ATTEMPT or BEGIN record. Raises Unreadable, struct.error if it is short."""
+    if kind == Kind.BEGIN:  # its position refers to a list of zones that is not known any more
+        time, place, at = BEGIN.unpack_from(data)[0], UNKNOWN_PLACE, BEGIN.size
+    else:
+        (time,) = ATTEMPT.unpack_from(data)
+        place, at = decode_place(data, ATTEMPT.size)
+    return AttemptRecord(time, place, list(unpack_items(data, BEGUN, at)))
+
+
 def encode_anchor(anchor: ClockAnchor) -> bytes:
     """Encodes the payload of a CLOCK record."""
     return CLOCK.pack(anchor.timeline, anchor.reading.monotonic, anchor.reading.boot)
--- a/rainpier/store/state.py
+++ b/rainpier/store/state.py
@@ -109,12 +109,19 @@
         return entry
 
     def on_begin(self, data: bytes, segment: int, seq: int) -> None:
+        """Marks attempts as begun by an earlier build, which did not record where."""
+        self.begin_attempts(codec.decode_attempt(Kind.BEGIN, data))
+
+    def on_attempt(self, data: bytes, segment: int, seq: int) -> None:
         """Marks attempts as begun, without an outcome so far."""
-        time, zone = codec.BEGIN.unpack_from(data)
-        self.latest_time = max(self.latest_time, time)
-        for number, attempts in codec.unpack_items(data, codec.BEGUN, codec.BEGIN.size):
+        self.begin_attempts(codec.decode_attempt(Kind.ATTEMPT, data))
+
+    def begin_attempts(self, record: codec.AttemptRecord) -> None:
+        """Marks the attempts of a record as begun."""
+        self.latest_time = max(self.latest_time, record.time)
+        for number, attempts in record.attempts:
             if entry := self.entry_or_orphan(number):
-                entry.attempts, entry.begun, entry.begun_zone = attempts, time, zone
+                entry.attempts, entry.begun, entry.begun_place = attempts, record.time, record.place
 
     def on_result(self, data: bytes, segment: int, seq: int) -> None:
         """Notes the outcomes of attempts."""
@@ -315,4 +322,5 @@
         Kind.END: on_end, Kind.OVER: on_over, Kind.SEEN: on_seen, Kind.NEXT: on_next, Kind.NAMES: on_names,
         Kind.BIND: on_bind, Kind.WAIT: on_wait, Kind.OUTAGE: on_outage, Kind.START: on_start,
         Kind.UPGRADED: on_upgraded, Kind.CLOCK: on_clock, Kind.KEY_PAUSE: on_key_pause,
+        Kind.ATTEMPT: on_attempt,
     }  # fmt: skip
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -23,7 +23,7 @@
 from . import destinations, upgrade
 from . import records as codec
 from .clock import ClockAnchor, ClockReading
-from .entry import Entry
+from .entry import AttemptPlace, Entry
 from .files import Files
 from .records import Kind, SegmentHeader
 from .recovery import Index, Recovered, affected_messages, encode_index, recover, segment_name, segment_number
@@ -39,8 +39,9 @@
 # Bytes for the remembered id of a completed message, and the share of the disk limit for all of them.
 COMPLETED_ID_SIZE, COMPLETED_IDS_SHARE = 60, 0.05
 GUARDED_IDS_SHARE = 0.1  # the same for ids of messages that must not run twice
-# Bytes that a message's records take beside body, id and token, its progress and final status included.
-PROGRESS_SIZE = 160
+# Bytes that a message's records take beside body, id and token, its progress and final status included, with
+# three names of zones of 12 bytes.
+PROGRESS_SIZE = 208
 COMPACTION_SHARE = 0.6  # of the disk limit: from there on the oldest segment is compacted
 COMPACTION_STEP_SIZE = 64 << 10  # bytes that a round relocates at most, unless CATCH_UP_FACTOR allows more
 COMPACTION_STEP_S = 0.002  # longest time that a round spends on relocating, which blocks the event loop
@@ -706,19 +707,19 @@
         self.count_message(entry)
         return True
 
-    def record_attempts(self, entries: Iterable[Entry], now: float, zone: int) -> bool:
+    def record_attempts(self, entries: Iterable[Entry], now: float, place: AttemptPlace) -> bool:
         """Records attempts before their first byte is sent. False: they must not be sent.
 
-        `now`: Unix time, ms; `zone`: of the endpoint.
+        `now`: Unix time, ms; `place`: of the endpoint.
         """
         entries = list(entries)
-        data = codec.BEGIN.pack(now, zone) + b"".join(codec.BEGUN.pack(e.number, e.attempts) for e in entries)
-        if not self.write_optional([(Kind.BEGIN, data)]):
+        attempt = codec.AttemptRecord(now, place, [(e.number, e.attempts) for e in entries])
+        if not self.write_optional([(Kind.ATTEMPT, codec.encode_attempt(attempt))]):
             self.read_only = True
             return False
         self.state.latest_time = max(self.state.latest_time, now)
         for entry in entries:
-            entry.begun, entry.begun_zone = now, zone
+            entry.begun, entry.begun_place = now, place
         return True
 
     def record_outcomes(self, outcomes: list[tuple[Entry, Outcome]]) -> None:
--- a/rainpier/store/tool.py
+++ b/rainpier/store/tool.py
@@ -92,10 +92,9 @@
         case codec.Kind.MESSAGE:
             entry = codec.decode_message(data, classes)
             return asdict(entry) | {"body": len(entry.body)}
-        case codec.Kind.BEGIN:
-            started_at, zone = codec.BEGIN.unpack_from(data)
-            attempts = list(codec.unpack_items(data, codec.BEGUN, codec.BEGIN.size))
-            return {"time": started_at, "zone": zone, "messages": attempts}
+        case codec.Kind.BEGIN | codec.Kind.ATTEMPT:
+            record = codec.decode_attempt(frame.kind, data)
+            return {"time": record.time, **asdict(record.place), "messages": record.attempts}
         case codec.Kind.RESULT:
             return {"messages": list(codec.unpack_items(data, codec.RESULT))}
         case codec.Kind.END:
--- a/rainpier/store/upgrade.py
+++ b/rainpier/store/upgrade.py
@@ -11,7 +11,7 @@
 
 from ..interface import Outcome
 from .destinations import decode
-from .entry import Entry
+from .entry import UNKNOWN_PLACE, Entry
 from .recovery import Finding
 from .state import UNKNOWN_TIME, State
 
@@ -26,12 +26,25 @@
     return json.loads(payload)
 
 
+def decode_entry(fields: list) -> Entry:
+    """Decodes the fields of a "take": those of an entry, and its progress where it has any.
+
+    The journal has positions of zones, in a list that is not known any more.
+    """
+    *leading, body = fields[:8]
+    attempts, begun, _, risky_at, _, end, retry, *terms = fields[8:]
+    effect, group, window = terms or (0, "all", 0.0)
+    return Entry(
+        *leading, base64.b64decode(body), attempts, begun, risky_at=risky_at, end=end, retry=retry,
+        effect=effect, group=group, window=window,
+    )  # fmt: skip
+
+
 def apply_record(state: State, record: list) -> None:
     """Applies a record. Raises ValueError, KeyError, IndexError or TypeError if it is malformed."""
     kind, *fields = record
     if kind == "take":
-        *leading, body = fields[:8]
-        state.add(Entry(*leading, base64.b64decode(body), *fields[8:]), 0, 0)
+        state.add(decode_entry(fields), 0, 0)
     elif kind == "seen":
         state.remember_completed(fields[0], fields[1], 0)
     elif kind == "next":
@@ -42,7 +55,7 @@
         state.latest_time = max(state.latest_time, fields[0])
         for number, attempts in fields[2]:
             entry = state.entries[number]
-            entry.attempts, entry.begun, entry.begun_zone = attempts, fields[0], fields[1]
+            entry.attempts, entry.begun, entry.begun_place = attempts, fields[0], UNKNOWN_PLACE
     elif kind == "result":
         state.entries[fields[0]].record_outcome(Outcome(fields[1]))
     elif kind == "end":
--- a/tests/store/test_clock.py
+++ b/tests/store/test_clock.py
@@ -8,6 +8,8 @@
 from rainpier.store.state import UNKNOWN_TIME
 from rainpier.store.store import Store
 
+from .workload import PLACE
+
 DISK = 256 << 10  # bytes
 BOOT, OTHER_BOOT = b"a" * BOOT_ID_SIZE, b"b" * BOOT_ID_SIZE
 WALL, MONOTONIC = 10_000_000.0, 500.0  # ms, at the first start
@@ -25,7 +27,7 @@
     store = store_at(None, WALL, MONOTONIC)
     for number, name in ((1, "untried"), (2, "begun")):
         store.accept(Entry(number, name, "safe", 3, 0, "", WALL + 20_000, b"x"))
-    store.record_attempts([store.entries[2]], WALL + 3_000, 0)
+    store.record_attempts([store.entries[2]], WALL + 3_000, PLACE)
     return store.files.image()
 
 
--- a/tests/store/test_full.py
+++ b/tests/store/test_full.py
@@ -15,7 +15,7 @@
 from rainpier.store.recovery import recover
 from rainpier.store.store import Store, StoreError
 
-from .workload import START, Workload, check_confirmed, confirmed_by_id
+from .workload import PLACE, START, Workload, check_confirmed, confirmed_by_id
 
 SMALL = 256 << 10  # bytes: the least disk limit
 WRITES = ("create", "append", "rename", "remove", "truncate")  # calls that change the folder
@@ -115,16 +115,18 @@
     store = Store(disk_after_kill(killed_workload, 0), SMALL, killed_workload.now)
     assert not store.read_only and not store.has_room(b"")
     free = [e for e in store.entries.values() if not e.begun and not e.end]
-    assert store.record_attempts(free[:1], killed_workload.now, 0)
+    assert store.record_attempts(free[:1], killed_workload.now, PLACE)
     notified = []
     store.record_final_status(free[1], "given_up", 0, lambda: notified.append(free[1].id))
     assert notified
     recovered = recover_files(store.files, killed_workload.now).state.entries
     assert recovered[free[0].number].begun and recovered[free[1].number].end
     store.files.room = total_size(store.files.files)  # other programs use the remaining room
-    assert not store.record_attempts(free[2:3], killed_workload.now, 0) and store.read_only
+    assert not store.record_attempts(free[2:3], killed_workload.now, PLACE) and store.read_only
     store.files.room = None
-    assert resumes(store, killed_workload.now) and store.record_attempts(free[2:3], killed_workload.now, 0)
+    assert resumes(store, killed_workload.now) and store.record_attempts(
+        free[2:3], killed_workload.now, PLACE
+    )
 
 
 def test_start_removes_unfinished_files_of_an_earlier_start(killed_workload):
@@ -141,7 +143,7 @@
     one, two, *_ = [e for e in store.entries.values() if not e.begun and not e.end]
     notified = []
     assert store.read_only and not store.has_room(b"")
-    assert not store.record_attempts([one], killed_workload.now, 0) and not one.begun
+    assert not store.record_attempts([one], killed_workload.now, PLACE) and not one.begun
     assert not store.accept(one)
     store.record_final_status(two, "handed_back", 5, lambda: notified.append(two.id))
     store.reclaim(killed_workload.now)
@@ -149,7 +151,7 @@
     assert not recover_files(store.files, killed_workload.now).state.entries[two.number].end
     store.files.room = None
     assert resumes(store, killed_workload.now) and notified == [two.id]
-    assert store.record_attempts([one], killed_workload.now, 0)
+    assert store.record_attempts([one], killed_workload.now, PLACE)
     assert recover_files(store.files, killed_workload.now).state.entries[two.number].end == "handed_back"
 
 
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -24,7 +24,7 @@
 from rainpier.store.state import UNKNOWN_TIME
 from rainpier.store.store import LIVE_SHARE, Store, StoreError
 
-from .workload import DISK, START, Workload, check_confirmed, confirmed_by_id
+from .workload import DISK, OTHER_PLACE, PLACE, START, Workload, check_confirmed, confirmed_by_id
 
 
 def new_entry(store, name, body=b"\x00\r\n\xff", key=0, deadline=9e12, **more):
@@ -49,17 +49,18 @@
     for message in (first, second, third):
         assert store.accept(message)
     second.attempts = 1
-    store.record_attempts([second], 2000.0, 1)
+    store.record_attempts([second], 2000.0, OTHER_PLACE)
     store.record_outcomes([(second, Outcome.RESET)])
     second.attempts = 2
-    store.record_attempts([second, third], 3000.0, 0)
+    store.record_attempts([second, third], 3000.0, PLACE)
     store.complete([first])
     restarted = restart(store, 4000.0)
     assert [e.id for e in restarted.entries.values()] == ["b", "c"]
     message = restarted.entries[second.number]
     assert message == second
     assert (message.body, message.key, message.token, message.attempts) == (b"\x00\r\n\xff", 5, "token", 2)
-    assert (message.begun, message.risky_at, message.risky_zone) == (3000.0, 2000.0, 1)
+    assert (message.begun, message.begun_place) == (3000.0, PLACE)
+    assert (message.risky_at, message.risky_place) == (2000.0, OTHER_PLACE)
     assert (
         restarted.next_number > third.number
         and restarted.is_known("a", 5000.0)
@@ -82,7 +83,7 @@
     store = open_store()
     store.accept(message := new_entry(store, "a"))
     message.attempts = 1
-    store.record_attempts([message], 2000.0, 0)
+    store.record_attempts([message], 2000.0, PLACE)
     store.record_outcomes([(message, Outcome.FULL)])
     restarted = restart(store).entries[message.number]
     assert (restarted.attempts, restarted.begun, restarted.risky_at) == (1, 0.0, 0.0)
@@ -243,7 +244,7 @@
     for n in range(20):
         store.accept(new_entry(store, f"m{n}", body=b"x" * 500))
     store.entries[3].attempts = 1
-    store.record_attempts([store.entries[3]], 2000.0, 0)
+    store.record_attempts([store.entries[3]], 2000.0, PLACE)
     store.complete([store.entries[5]])
     store.rotate(1000.0)
     old = store.files.image()
@@ -399,7 +400,7 @@
     store.accept(message := new_entry(store, "a", deadline=10_020_000.0))
     store.accept(two := new_entry(store, "b", deadline=10_020_000.0))
     two.attempts = 1
-    store.record_attempts([two], 10_005_000.0, 0)
+    store.record_attempts([two], 10_005_000.0, PLACE)
     store.record_retry_after("d3", 10_006_000.0)
     for restarted in (restart(store, 4_000_000.0), restart(restart(store, 4_000_000.0), 4_000_500.0)):
         assert restarted.entries[message.number].deadline == pytest.approx(4_000_000.0 + 15_000.0)
@@ -465,7 +466,7 @@
             for _ in range(2):
                 done = held.pop(chance.randrange(len(held)))
                 done.attempts += 1
-                assert store.record_attempts([done], now, 0)
+                assert store.record_attempts([done], now, PLACE)
                 store.record_outcomes([(done, Outcome.RESET)])
                 notified = []
                 store.record_final_status(done, "given_up", 0, lambda notified=notified: notified.append(1))
@@ -531,13 +532,13 @@
     store.record_final_status(a, "given_up", 0, lambda: notified.append("a"))
     assert (
         not notified
-        and not store.record_attempts([b], 2000.0, 0)
+        and not store.record_attempts([b], 2000.0, PLACE)
         and not store.accept(new_entry(store, "c"))
         and not store.has_room(b"")
     )
     disk.room = None  # there is room, but the deferred record has not been retried: nothing overtakes it
     assert (
-        not store.record_attempts([b], 2000.0, 0)
+        not store.record_attempts([b], 2000.0, PLACE)
         and not store.accept(new_entry(store, "c"))
         and store.deferred
     )
@@ -617,7 +618,7 @@
         message = data.draw(st.sampled_from(self.held()))
         if not message.end and not message.begun:
             message.attempts += 1
-            self.store.record_attempts([message], self.now, 0)
+            self.store.record_attempts([message], self.now, PLACE)
 
     @precondition(lambda self: any(e.begun for e in self.store.entries.values()))
     @rule(data=st.data(), outcome=st.sampled_from([Outcome.FULL, Outcome.RESET, Outcome.ERROR]))
--- a/tests/store/test_tool.py
+++ b/tests/store/test_tool.py
@@ -10,6 +10,8 @@
 from rainpier.store.files import Folder
 from rainpier.store.store import Store
 
+from .workload import PLACE
+
 
 def create_store(folder, now=1_700_000_000_000.0):
     """Writes a store: three held messages, one of them begun, a completed one, and a route's state.
@@ -25,7 +27,7 @@
             )
         )
     store.entries[1].attempts = 1
-    store.record_attempts([store.entries[1]], now, 0)
+    store.record_attempts([store.entries[1]], now, PLACE)
     store.record_retry_after("d3", now + 5000)
     store.record_outage("d3", now)
     store.record_destination_names({"thumbs": 3})
@@ -71,7 +73,7 @@
     )
     rows = [json.loads(row) for row in run_command("dump", tmp_path).output.splitlines()]
     assert [row["seq"] for row in rows] == list(range(1, len(rows) + 1))
-    assert {"start", "next", "class", "message", "begin", "wait", "outage", "names", "end", "over"} == {
+    assert {"start", "next", "class", "message", "attempt", "wait", "outage", "names", "end", "over"} == {
         row["kind"] for row in rows
     }
     assert "secret" not in run_command("dump", tmp_path).output
--- a/tests/store/workload.py
+++ b/tests/store/workload.py
@@ -7,12 +7,13 @@
 import random
 
 from rainpier.interface import Outcome
-from rainpier.store.entry import Entry
+from rainpier.store.entry import AttemptPlace, Entry
 from rainpier.store.store import Store
 
 DISK = 300_000  # bytes
 CLASSES = {"safe": 0, "keyed": 1, "unsafe": 2}  # Effect by class name
 START = 1_000_000.0  # Unix ms
+PLACE, OTHER_PLACE = AttemptPlace("north", 11), AttemptPlace("south", 12)  # of attempts
 
 
 class Confirmation:
@@ -77,7 +78,7 @@
         self.current_ids = {entry.id for entry in chosen}
         for entry in chosen:
             entry.attempts += 1
-        if chosen and self.store.record_attempts(chosen, self.now, 1):
+        if chosen and self.store.record_attempts(chosen, self.now, OTHER_PLACE):
             for entry in chosen:
                 self.in_flight[entry.number] = entry
                 self.confirm("begun", entry.id)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -450,6 +450,26 @@
     assert sends(a for _, a in rig.run(3000)) == []
 
 
+# Guards against a message whose zone is not known and that waits for it, or goes to any zone.
+def test_a_message_keyed_by_a_zone_that_is_not_known_is_failed_at_once():
+    zoned = i.MessageClass("zoned", 2.0, 2000.0, 20000.0, 0.3, i.Effect.KEYED, "zone", 6000.0)
+    rig = Rig(classes=(zoned, KEYED))
+    for message, cls in ((1, zoned), (2, KEYED)):
+        arrival = i.Arrival(message, message - 1, 1, rig.now + 9000.0)
+        terms = (cls.effect, cls.group, cls.repeat_window)
+        actions = rig.do(i.Resumed(arrival, 1, rig.now, i.UNKNOWN_ZONE, False, False, *terms))
+        assert (i.Fail(1) in actions) == (message == 1) and (sends(actions) == [2]) == (message == 2)
+
+
+@pytest.mark.parametrize("zone", [2, 9])
+def test_a_zone_without_a_fee_costs_as_much_as_the_dearest(zone):
+    rig = Rig(endpoints=(), kinds=(i.Kind("routes", apart=True),), zone_fee=(0.5, 0.0))
+    cheap, without_fee = i.EndpointEntry(7, 1, zone=1), i.EndpointEntry(8, 1, zone=zone)
+    rig.do(i.ListChange(i.ListKind.FULL, (without_fee, cheap)))
+    rig.arrive(1)
+    assert rig.last[1][1] == cheap.endpoint
+
+
 @pytest.mark.parametrize(("name", "value"), [
     ("slots", 0), ("max_open", 0), ("max_attempts", 0), ("senders", 0), ("tick", -1.0), ("turn_gap", -5.0), ("fall", 0.0),
     ("cold", float("nan")), ("classes", (i.MessageClass(deadline=-1.0),)), ("kinds", (i.Kind(batch=0),)),
