Try endpoints in other zones for messages that are bound to one

Callers saw: after a restart keyed orders of a destination with endpoints in two zones were given up at their deadline without a second attempt, although the endpoint of their zone was ready.

Cause: Sender.offer_next_call chooses an endpoint first, then messages that may go there. Where all waiting messages are bound to another zone it waited until the preference may change by time alone, up to 30 s. Calls in flight hide it; with none, a random tie-break decides which zone starves.

Change: if nothing may go to the preferred endpoint and messages are bound to a zone, endpoints in the other zones are tried in the order of preference, for a call that carries a bound message. Nothing changes where no message is bound. tests/naive_policy.py has the same rule.

--- a/rainpier/backlog.py
+++ b/rainpier/backlog.py
@@ -198,6 +198,10 @@
         if self.messages.pop(message.id, None):
             self.unschedule(message)
 
+    def has_bound_messages(self) -> bool:
+        """Whether messages that may be sent are bound to a zone."""
+        return any(lane.zone is not None for lane in self.lanes.values())
+
     def next_at(self, now: float, uncertain: bool) -> float:
         """Returns the time at which one more message may be sent, if nothing happens before; infinity: none.
 
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -1389,18 +1389,18 @@
                         endpoint,
                     )
                 )
-        *_, endpoint = min(ready, default=(None,))
-        if endpoint:
-            uncertain = (
-                endpoint.state.circuit_open or endpoint.state.uncertain_share > UNHEALTHY_FAILURE_SHARE / 2
-            )
-            if batch := self.pick_messages(backlog, endpoint, uncertain):
+        *_, preferred = min(ready, default=(None,))
+        if preferred:
+            uncertain = self.is_uncertain(preferred.state)
+            endpoint, batch = preferred, self.pick_messages(backlog, preferred, uncertain)
+            if not batch and backlog.has_bound_messages():
+                endpoint, batch = self.pick_bound_messages(backlog, [row[-1] for row in sorted(ready)])
+            if batch:
                 worth = sum(m.worth_at(now, self.settings.late_halves) for m in batch)
                 call_ms = self.expected_call_ms(batch[0].class_number, endpoint.state, len(batch))
                 heapq.heappush(candidates, (-worth / call_ms, destination, endpoint, batch))
             elif backlog.lanes:
-                # The messages may be bound to another zone. Checked again when the order of endpoints may
-                # change, as an endpoint in that zone may then come first.
+                # The messages may be bound to a zone without a ready endpoint: checked again when that may change.
                 check_at = min(check_at, min(self.order_changes_at(row[-1].state) for row in ready))
             check_at = min(check_at, backlog.next_at(now, uncertain))
         self.check_times.set(destination, check_at)
@@ -1416,13 +1416,41 @@
         It has the fewest failures, among these the fewest calls in flight, and among these it was used so
         recently that an idle connection may be reused.
         """
-        ready = [e for e in state.endpoints if e.entry.condition is i.Condition.READY]
+        return min(self.ready_endpoints(state), key=self.preference, default=None)
+
+    @staticmethod
+    def ready_endpoints(state: DestinationState) -> list[Endpoint]:
+        """Returns the endpoints that may get calls."""
+        return [e for e in state.endpoints if e.entry.condition is i.Condition.READY]
+
+    def preference(self, endpoint: Endpoint) -> tuple:
+        """Returns the sort key of choose_endpoint, the smallest first."""
         idle_before = self.now - self.settings.keep_alive
-        return min(
-            ready,
-            key=lambda e: (*e.selection_key(self.now), e.used_at < idle_before, e.tie_break),
-            default=None,
-        )
+        return *endpoint.selection_key(self.now), endpoint.used_at < idle_before, endpoint.tie_break
+
+    @staticmethod
+    def is_uncertain(state: DestinationState) -> bool:
+        """Whether calls fail and may have taken effect; see Lane.in_order_of_worth."""
+        return state.circuit_open or state.uncertain_share > UNHEALTHY_FAILURE_SHARE / 2
+
+    def pick_bound_messages(
+        self, backlog: Backlog, preferred: list[Endpoint]
+    ) -> tuple[Endpoint, list[Message]]:
+        """Returns a call with a message that may not go to the preferred endpoint; an empty one if none fits.
+
+        preferred: the endpoint chosen for each state, in the order of preference. Without this, messages that
+        are bound to a zone would wait for as long as an endpoint in another one is preferred.
+        """
+        tried = {preferred[0].entry.zone}
+        for first in preferred:
+            for endpoint in sorted(self.ready_endpoints(first.state), key=self.preference):
+                if endpoint.entry.zone in tried:
+                    continue
+                batch = self.pick_messages(backlog, endpoint, self.is_uncertain(first.state))
+                if any(message.bound_zone is not None for message in batch):
+                    return endpoint, batch
+                tried.add(endpoint.entry.zone)
+        return preferred[0], []
 
     def order_changes_at(self, state: DestinationState) -> float:
         """Returns when the order of endpoints, or of a destination's states, may change by time alone."""
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -672,7 +672,10 @@
                     )
                 )
         *_, endpoint = min(ready, default=(None,))
-        if endpoint and (batch := self.pick_messages(messages, endpoint)):
+        batch = self.pick_messages(messages, endpoint) if endpoint else []
+        if endpoint and not batch:
+            endpoint, batch = self.pick_bound_messages(messages, [row[-1] for row in sorted(ready)])
+        if batch:
             worth = sum(m.worth_at(now, self.settings.late_halves) for m in batch)
             call_ms = self.expected_call_ms(batch[0], endpoint.state, len(batch))
             heapq.heappush(candidates, (-worth / call_ms, destination, endpoint, batch))
@@ -683,13 +686,28 @@
         It has the fewest failures, among these the fewest calls in flight, and among these it was used so
         recently that an idle connection may be reused.
         """
+        return min(self.in_order(state), key=self.preference, default=None)
+
+    def in_order(self, state: DestinationState) -> list[Endpoint]:
+        """Returns the ready endpoints, the preferred one first."""
         ready = [e for e in state.endpoints if e.entry.condition is i.Condition.READY]
+        return sorted(ready, key=self.preference)
+
+    def preference(self, endpoint: Endpoint) -> tuple:
+        """Returns the sort key of endpoints, the smallest first."""
         idle_before = self.now - self.settings.keep_alive
-        return min(
-            ready,
-            key=lambda e: (*e.selection_key(self.now), e.used_at < idle_before, e.tie_break),
-            default=None,
-        )
+        return *endpoint.selection_key(self.now), endpoint.used_at < idle_before, endpoint.tie_break
+
+    def pick_bound_messages(
+        self, messages: dict[int, Message], preferred: list[Endpoint]
+    ) -> tuple[Endpoint, list[Message]]:
+        """Returns a call with a message that is bound to a zone; an empty one if there is none."""
+        for first in preferred:
+            for endpoint in self.in_order(first.state):
+                batch = self.pick_messages(messages, endpoint)
+                if any(m.cls.group == "zone" and self.repeat_until(m) < math.inf for m in batch):
+                    return endpoint, batch
+        return preferred[0], []
 
     def pick_messages(self, messages: dict[int, Message], endpoint: Endpoint) -> list[Message]:
         """Returns the messages of the next call: the most worth first, of equals the one nearest its aim."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -461,6 +461,18 @@
         assert (i.Fail(1) in actions) == (message == 1) and (sends(actions) == [2]) == (message == 2)
 
 
+# Guards against a message that waits until its deadline because an endpoint in another zone is preferred.
+@pytest.mark.parametrize("apart", [False, True])
+@pytest.mark.parametrize("zone", range(3))
+def test_a_message_bound_to_any_zone_is_sent_there_at_once(zone, apart):
+    zoned = i.MessageClass("zoned", 2.0, 2000.0, 20000.0, 0.3, i.Effect.KEYED, "zone", 60000.0)
+    rig = Rig(endpoints=(), classes=(zoned,), kinds=(i.Kind("routes", apart=apart),))
+    rig.do(i.ListChange(i.ListKind.FULL, tuple(i.EndpointEntry(7 + other, 1, other) for other in range(3))))
+    arrival = i.Arrival(1, 0, 1, rig.now + 9000.0)
+    rig.do(i.Resumed(arrival, 1, rig.now, zone, False, False, i.Effect.KEYED, "zone", 60000.0))
+    assert rig.last[1][1] == 7 + zone
+
+
 @pytest.mark.parametrize("zone", [2, 9])
 def test_a_zone_without_a_fee_costs_as_much_as_the_dearest(zone):
     rig = Rig(endpoints=(), kinds=(i.Kind("routes", apart=True),), zone_fee=(0.5, 0.0))
