--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -1400,7 +1400,7 @@
                 call_ms = self.expected_call_ms(batch[0].class_number, endpoint.state, len(batch))
                 heapq.heappush(candidates, (-worth / call_ms, destination, endpoint, batch))
             elif backlog.lanes:
-                # The messages may be bound to a zone without a ready endpoint: checked again when that may change.
+                # The messages may be bound to a zone without a ready endpoint: checked again on a change.
                 check_at = min(check_at, min(self.order_changes_at(row[-1].state) for row in ready))
             check_at = min(check_at, backlog.next_at(now, uncertain))
         self.check_times.set(destination, check_at)
