Give up what may have run at an endpoint that changes its zone

Callers saw: with the zones of two endpoints exchanged, by SIGHUP, at a start, or by discovery, orders that had run at one endpoint ran at the other one, which is now listed in the zone that the message is bound to.

Cause: a message was bound to a zone by name, but not to what was in that zone.

Change: node/attempt_places.py compares the endpoint of each recorded attempt (the checksum that the store has) with the zone in which it is listed. Where they differ, the zone of the attempt is not known: the policy hears ZoneLost and fails the message, which no endpoint may get. Endpoints are compared when they are first listed and when they change, by a lookup; only a difference looks at the held messages.

--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -209,6 +209,13 @@
     repeat_window: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class ZoneLost:
+    """The zone of the first attempt of a message that may have taken effect is not known any more."""
+
+    message: int
+
+
 @dataclass(slots=True, frozen=True)
 class EndAnswered:
     """The final status was acknowledged and no attempt is in flight: the message is complete."""
@@ -333,8 +340,9 @@
 
 
 Event = (
-    Arrival | Resumed | Result | EndAnswered | KeyPaused | ClassesChange | DestinationsGone | Remembered
-    | Stopping | Stalled | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote | TimerDue
+    Arrival | Resumed | Result | ZoneLost | EndAnswered | KeyPaused | ClassesChange | DestinationsGone
+    | Remembered | Stopping | Stalled | Withdrawn | ListChange | ProbeResult | StreamOpened | PeerNote
+    | TimerDue
 )  # fmt: skip
 
 
--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -11,6 +11,7 @@
 from .. import interface as i
 from ..carriers.http.receivers import Receivers
 from ..membership.source import AddressError, DiscoveredEndpoint, parse_address
+from .attempt_places import AttemptPlaces
 from .core import Core
 from .endpoint_updates import EndpointUpdates
 from .retry_after import RetryAfterDeadlines
@@ -23,8 +24,10 @@
 class EndpointRegistry:
     """The known endpoints. Each is a receiver of the transports under the same number."""
 
-    def __init__(self, core: Core, receivers: Receivers, retry_after: RetryAfterDeadlines) -> None:
-        self.core, self.receivers, self.retry_after = core, receivers, retry_after
+    def __init__(
+        self, core: Core, receivers: Receivers, retry_after: RetryAfterDeadlines, places: AttemptPlaces
+    ) -> None:
+        self.core, self.receivers, self.retry_after, self.places = core, receivers, retry_after, places
         self.kinds = {kind.name: number for number, kind in enumerate(core.settings.kinds)}
         self.numbers: dict[str, int] = {}  # of endpoints, by name
         self.next_number = 1
@@ -110,6 +113,9 @@
         )
         known = self.receivers.by_number.get(number)
         if known is None or known.entry.zone != zone:
+            self.places.on_listed(
+                endpoint.name, endpoint.zone, zones.name(known.entry.zone) if known else None
+            )
             zones.add_endpoint(zone)
             if known is not None:
                 zones.remove_endpoint(known.entry.zone)
@@ -149,4 +155,5 @@
                 if self.numbers.get(receiver.name) == number:
                     del self.numbers[receiver.name]
                 self.decrement_receivers(receiver.entry.destination)
+                self.places.on_released(receiver.name, self.core.zones.name(receiver.entry.zone))
                 self.core.zones.remove_endpoint(receiver.entry.zone)
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import zlib
 from collections.abc import Iterable
 
 from .. import interface as i
@@ -14,6 +13,7 @@
 from ..carriers.http.receivers import Call, CallResult, Receiver, Receivers, Transports, split_batches
 from ..observe.events import record
 from ..store.entry import AttemptPlace, Entry
+from .attempt_places import AttemptPlaces, endpoint_checksum
 from .call_log import log_attempt, log_call, log_held_back
 from .completions import Completions
 from .core import Core
@@ -49,6 +49,7 @@
         self.receivers.on_partial_result = self.on_partial_outcome
         self.retry_after = RetryAfterDeadlines(core, self.receivers)
         self.key_pauses = KeyPauses(core)
+        self.places = AttemptPlaces(core)
         completions.on_overdue_in_flight = self.record_open_call
         self.reconfigure()
 
@@ -188,7 +189,7 @@
 
     def place_of(self, receiver: Receiver) -> AttemptPlace:
         """Returns what the store records of the receiver of an attempt."""
-        return AttemptPlace(self.zone_of(receiver), zlib.crc32(receiver.name.encode()))
+        return AttemptPlace(self.zone_of(receiver), endpoint_checksum(receiver.name))
 
     def remove_from_call(self, call: Call, entry: Entry) -> None:
         """Ends the attempt of a message, of which no byte was written, and takes it out of its call."""
@@ -229,7 +230,7 @@
             self.end_attempt(call, entry, attempt, outcome, closed, result)
         if completed:
             self.completions.complete(completed)
-        self.store.record_outcomes(open_entries)
+        self.record_outcomes(open_entries)
 
     def on_partial_outcome(self, call: Call, entry: Entry, outcome: i.Outcome) -> None:
         """Handles the outcome of one message while its call goes on for the others.
@@ -251,7 +252,7 @@
         if closed:
             self.completions.complete([entry])
         else:
-            self.store.record_outcomes([(entry, outcome)])
+            self.record_outcomes([(entry, outcome)])
 
     def expire(self, call: Call, entry: Entry) -> None:
         """Ends the attempt of a message at its deadline; its call goes on for the others."""
@@ -264,6 +265,13 @@
             attempt = call.attempts[call.entries.index(entry)]
             # It stays in flight until the call ends (`release`): only then does the pause of its key begin.
             self.report_outcome(call, entry, attempt, i.Outcome.TIMEOUT, False, CallResult([]))
+            self.places.report_lost_zone(entry)
+
+    def record_outcomes(self, outcomes: list[tuple[Entry, i.Outcome]]) -> None:
+        """Records outcomes that were reported to the policy, after which the messages are not completed."""
+        self.store.record_outcomes(outcomes)
+        for entry, _ in outcomes:  # the endpoint of the attempt may have changed its zone during the call
+            self.places.report_lost_zone(entry)
 
     def record_open_call(self, entry: Entry) -> None:
         """Records that the call of a message may outlast it, and with it the pause of its key."""
--- a/rainpier/node/node.py
+++ b/rainpier/node/node.py
@@ -61,7 +61,9 @@
         calls_by_message: dict[int, Call] = {}
         self.completions = Completions(self.core, sink, calls_by_message)
         self.calls = InFlightCalls(self.core, self.completions, calls_by_message)
-        self.endpoints = EndpointRegistry(self.core, self.calls.receivers, self.calls.retry_after)
+        self.endpoints = EndpointRegistry(
+            self.core, self.calls.receivers, self.calls.retry_after, self.calls.places
+        )
         self.admission = Admission(self.core, self.completions, self.endpoints, source.complete.is_set)
         self.submit = self.admission.submit
         self.task: asyncio.Task | None = None
--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -717,6 +717,7 @@
             i.EndAnswered: lambda event: self.leave_key_queue(event.key, event.message),
             i.KeyPaused: lambda event: self.pause_key(event.key, event.duration),
             i.Withdrawn: self.on_withdrawn,
+            i.ZoneLost: self.on_zone_lost,
         }
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -1056,6 +1057,17 @@
         """Drops a message; its key waits for EndAnswered, or else for the end of its attempt."""
         self.complete(event.message, acknowledged=not self.settings.ends_answered)
 
+    def on_zone_lost(self, event: i.ZoneLost) -> None:
+        """Ends a message that may be sent again in one zone only, if it is not known which one that is."""
+        message = self.messages.get(event.message)
+        if message is None or message.maybe_ran_at == math.inf:
+            return
+        message.maybe_ran_zone = i.UNKNOWN_ZONE
+        if not message.in_flight:
+            self.schedule(message, self.backlogs[message.destination])
+            if self.now > message.repeat_until:
+                self.refuse_or_fail(message)
+
     def on_stalled(self, event: i.Stalled) -> None:
         """Stops sending while attempts cannot be recorded: each one counts towards Settings.max_attempts."""
         self.stalled = event.on
--- a/tests/observe/test_ledger.py
+++ b/tests/observe/test_ledger.py
@@ -31,7 +31,7 @@
     i.Result(1, 0, 3, i.Outcome.FULL, 1.5, False, 20.0, (0.5, 2.0), True),
     i.Resumed(i.Arrival(1, 0, 2, 5e8), 2, effect=i.Effect.KEYED, group="zone", repeat_window=3.0),
     i.EndAnswered(1, 2), i.KeyPaused(2, 300.0), i.ClassesChange((SAFE, UNSAFE)), i.DestinationsGone(frozenset({3, 1})),
-    i.Remembered(1, 2.0, True), i.Stopping(5.0), i.Stalled(True), i.Withdrawn(4),
+    i.Remembered(1, 2.0, True), i.Stopping(5.0), i.Stalled(True), i.Withdrawn(4), i.ZoneLost(4),
     i.ListChange(i.ListKind.DELTA, (i.EndpointEntry(1, 2, rate=3.5), i.EndpointEntry(2, 2))),
     i.ProbeResult(1, i.Outcome.OK, 2.0, (1.0,)), i.StreamOpened(1, 0, 2, 3.0), i.PeerNote(1, b""),
     i.TimerDue(0),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -461,6 +461,24 @@
         assert (i.Fail(1) in actions) == (message == 1) and (sends(actions) == [2]) == (message == 2)
 
 
+# Guards against a message that goes on to a zone which may not know its key, or waits for it until its deadline.
+@pytest.mark.parametrize("in_flight", [False, True])
+def test_a_message_whose_zone_is_lost_is_failed_once_no_attempt_is_open(in_flight):
+    zoned = i.MessageClass("zoned", 2.0, 2000.0, 20000.0, 0.3, i.Effect.KEYED, "zone", 60000.0)
+    rig = Rig(classes=(zoned, KEYED))
+    for message, cls in ((1, zoned), (2, KEYED)):
+        terms = (cls.effect, cls.group, cls.repeat_window)
+        arrival = i.Arrival(message, message - 1, 1, rig.now + 9000.0)
+        actions = rig.do(i.Resumed(arrival, 1, rig.now, 0, not in_flight, False, *terms))
+        assert sends(actions) == ([message] if in_flight else [])
+    actions = rig.do(i.ZoneLost(1), i.ZoneLost(2), i.ZoneLost(99))
+    assert (i.Fail(1) in actions) is not in_flight
+    if in_flight:
+        rig.last[1] = (1, rig.last[1][1])
+        assert i.Fail(1) in rig.result(1, i.Outcome.FULL)
+    assert 2 in rig.sender.messages
+
+
 # Guards against a message that waits until its deadline because an endpoint in another zone is preferred.
 @pytest.mark.parametrize("apart", [False, True])
 @pytest.mark.parametrize("zone", range(3))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -24,7 +24,7 @@
 
 ORDERS = ["order-1", "order-2", "order-3"]
 LIFETIME_MS = 3000  # of an order
-LIFETIME_OVER_SHUTDOWN_MS = 7000  # the same on the platform, whose sender serves on for 3 s after SIGTERM
+LIFETIME_OVER_SHUTDOWN_MS = 7000  # the same where the sender gets SIGTERM, after which it serves on for 3 s
 ZONED = {"zoned": 'effect = "keyed"\nrepeat_window = "60 s"\nremembered_by = "zone"'}
 PLATFORM_CLASSES = [
     {"name": "safe", "objective": 2000.0, "hard-limit": 20000.0, "semantics": "free"},
@@ -38,11 +38,13 @@
 
     def __init__(self, failing=False):
         super().__init__(self.run)
-        self.failing, self.ran = failing, []
+        self.failing, self.ran, self.may_answer = failing, [], asyncio.Event()
+        self.may_answer.set()
 
-    def run(self, request, body):
+    async def run(self, request, body):
         """Handler: runs the message."""
         self.ran.append(dict(request.headers)[b"x-call-id"].decode())
+        await self.may_answer.wait()
         return 500 if self.failing else 200, [], b""
 
 
@@ -69,7 +71,10 @@
     "one put first": Edit(Names(("a", "b"), "b", "a"), Names(("n", "a", "b"), "b", "a")),
     "replaced": Edit(Names(("a",), "a", None), Names(("c",), None, "c")),
     "renamed": Edit(Names(("a", "b"), "a", "b"), Names(("d", "c"), "c", "d")),
+    "endpoints exchanged": Edit(Names(("a", "b"), "a", "b"), Names(("a", "b"), "b", "a")),
+    "endpoint moved": Edit(Names(("a", "b", "c"), "a", "b"), Names(("a", "b", "c"), "c", "a")),
 }
+LIVE_EDITS = ("endpoints exchanged", "endpoint moved")
 
 
 def config_text(names, near, far, moved):
@@ -99,16 +104,23 @@
     await process.wait()
 
 
-async def play_on_sidecar(folder, edit, change):
-    """Plays an edit by "reload", or between two starts by "restart" or "kill"."""
+async def play_on_sidecar(folder, edit, change, call_open=False):
+    """Plays an edit by "reload", or between two starts by "restart" or "kill".
+
+    `call_open`: near answers only once the edit is applied.
+    """
     folder.mkdir()
     async with ZoneReceiver(failing=True) as near, ZoneReceiver() as far:
         after = config_text(edit.after, near, far, moved=True)
         async with SidecarProcess(folder, config_text(edit.before, near, far, moved=False)) as sidecar:
-            await submit(sidecar.port, *ORDERS)
+            if call_open:
+                near.may_answer.clear()
+            lifetime_ms = LIFETIME_OVER_SHUTDOWN_MS if change == "restart" else LIFETIME_MS
+            await submit(sidecar.port, *ORDERS, lifetime_ms=lifetime_ms)
             await wait_until(lambda: set(near.ran) == set(ORDERS))
             if change == "reload":
                 assert (await sidecar.reload(after))["result"] == "applied"
+                near.may_answer.set()
                 await check_sidecar(sidecar, far)
             else:
                 await end_process(sidecar.process, change)
@@ -155,6 +167,21 @@
     run_with_timeout(scenario())
 
 
+# Guards against the same where endpoints change their zones: the zone's name is that of another endpoint then.
+@pytest.mark.parametrize("call_open", [False, True])
+def test_orders_of_an_endpoint_that_changes_its_zone_run_nowhere_else(tmp_path, call_open):
+    async def scenario():
+        async with asyncio.TaskGroup() as plays:
+            for name in LIVE_EDITS:
+                play = play_on_sidecar(tmp_path / name, START_EDITS[name], "reload", call_open)
+                plays.create_task(play)
+                if not call_open:
+                    folder = tmp_path / f"{name} on the platform"
+                    plays.create_task(play_on_platform(folder, START_EDITS[name], "update"))
+
+    run_with_timeout(scenario())
+
+
 def discovered(near, far, zones, moved):
     """Returns the endpoints as discovery lists them; `moved`: as in config_text."""
     health = ("DRAINING", "SERVING") if moved else ("SERVING", "DRAINING")
@@ -197,7 +224,7 @@
 @pytest.mark.parametrize("change", ["restart", "kill"])
 def test_orders_stay_in_their_zone_when_the_platform_lists_zones_anew(tmp_path, change):
     async def scenario():
-        edits = ("reordered", "one put first", "renamed")
+        edits = ("reordered", "one put first", "renamed", *LIVE_EDITS)
         async with asyncio.TaskGroup() as plays:
             for name in edits:
                 plays.create_task(play_on_platform(tmp_path / name, START_EDITS[name], change))
