Keep deadlines and outages when a kind gets other routes

Callers saw: a receiver that had asked for a pause of 2 s was called 0.5 s into it, after a start with its kind's `apart` changed.

Cause: deadlines and outages are stored by the name of a route, which is the destination or the endpoint by the kind's setting at that time; the next process asked for the other name only.

Change: RetryAfterDeadlines is keyed by the stored names and starts with the stored deadlines; an endpoint is bound by its own and by its destination's. The policy is told (Remembered) for each endpoint that is new to the process. An outage of a route that no kind has any more is moved to the routes in its place.

--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -35,9 +35,9 @@
         # numbers of receivers that the policy has dropped; calls to them may still be open
         self.forgotten: dict[int, None] = {}
         self.updates = EndpointUpdates(self.apply, self.numbers, self.removed_endpoint)
-        stored = core.store.state
-        # of an earlier process: retry-after deadlines and starts of outages, Unix ms, by route name
-        self.stored_by_route = (dict(stored.retry_after), dict(stored.outages))
+        self.new_endpoints: list[i.EndpointEntry] = []  # registered since the last update was passed on
+        # of an earlier process: starts of outages, Unix ms, by route name
+        self.earlier_outages = dict(core.store.state.outages)
 
     def serves(self, destination: int) -> bool:
         """Whether the destination with this id has a known receiver."""
@@ -64,23 +64,37 @@
                     gone = replace(receiver.entry, condition=i.Condition.GONE)
                     self.receivers.update(gone, receiver.name, receiver.address)
         self.core.push(i.ListChange(kind, tuple(entries)))
-        self.restore_routes(entries)
+        added, self.new_endpoints = self.new_endpoints, []
+        self.restore_routes(added)
 
     def restore_routes(self, entries: list[i.EndpointEntry]) -> None:
-        """Restores retry-after deadlines and outages of an earlier process, once for each route.
+        """Tells the policy (Remembered) of deadlines and earlier outages of endpoints new to this process."""
+        for entry in entries:
+            wait, down = self.retry_after.remaining(entry), self.was_down(entry)
+            if wait or down:
+                self.core.push(i.Remembered(entry.endpoint, wait, down))
 
-        The policy is told of both (Remembered).
+    def was_down(self, entry: i.EndpointEntry) -> bool:
+        """Whether an earlier process recorded an outage of the endpoint's route.
+
+        Each outage is told once. One of a route that the kind does not have any more is told for, and moved
+        to, the routes that have taken its place.
         """
-        deadlines, outages = self.stored_by_route
-        for entry in entries if deadlines or outages else ():
-            name, now = self.retry_after.route_name(entry), self.core.now
-            until, since = deadlines.pop(name, 0.0), outages.pop(name, 0.0)
-            if not self.core.config.destinations:
-                until = 0.0  # without configured destinations, on the platform, a restart ends the deadline
-            if until > now:
-                self.retry_after.extend(entry, until - now)
-            if until > now or since:
-                self.core.push(i.Remembered(entry.endpoint, max(0.0, until - now), since > 0))
+        if not self.earlier_outages:
+            return False
+        route, former_route = self.retry_after.route_names(entry)
+        if route in self.earlier_outages:
+            del self.earlier_outages[route]
+            return True
+        since = self.earlier_outages.get(former_route)
+        if since is None:
+            return False
+        if not self.retry_after.is_apart(entry):  # else the other endpoints of the destination follow
+            del self.earlier_outages[former_route]
+        self.core.store.record_outage(route, since)
+        if former_route in self.core.store.state.outages:
+            self.core.store.record_outage(former_route, 0.0)
+        return True
 
     def register(self, endpoint: DiscoveredEndpoint) -> i.EndpointEntry | None:
         """Adds or updates one endpoint.
@@ -123,6 +137,8 @@
             self.destinations[endpoint.destination] += 1
             if known is not None:
                 self.decrement_receivers(known.entry.destination)
+        if known is None:
+            self.new_endpoints.append(entry)
         self.receivers.update(entry, endpoint.name, address)
         return entry
 
--- a/rainpier/node/retry_after.py
+++ b/rainpier/node/retry_after.py
@@ -12,30 +12,38 @@
 class RetryAfterDeadlines:
     """The deadlines by route: until then nothing may be written to the route's receivers.
 
-    A route is one receiver where its kind is `apart`, else all receivers of a destination.
+    A route is one receiver where its kind is `apart`, else all receivers of a destination. A deadline binds a
+    receiver by either route, since its kind may have changed after the deadline was set.
     """
 
     def __init__(self, core: Core, receivers: Receivers) -> None:
+        """Sets the deadlines that an earlier process recorded.
+
+        Not without configured destinations, on the platform, where a restart ends a deadline.
+        """
         self.core, self.receivers = core, receivers
-        self.deadlines: Schedule[tuple[str, int]] = Schedule()  # by route: loop time, s
+        self.deadlines: Schedule[str] = Schedule()  # by the route's name in the store: loop time, s
+        if core.config.destinations:
+            for route, until in core.store.state.retry_after.items():
+                if until > core.now:
+                    self.deadlines.set(route, (until - core.epoch) / 1000)
 
     def is_apart(self, endpoint: i.EndpointEntry) -> bool:
         """Whether the receiver is a route of its own."""
         return self.core.settings.kinds[endpoint.kind].apart
 
-    def route(self, endpoint: i.EndpointEntry) -> tuple[str, int]:
-        """Returns the route's key in this process."""
-        return (
-            ("receiver", endpoint.endpoint)
-            if self.is_apart(endpoint)
-            else ("destination", endpoint.destination)
-        )
+    def route_names(self, endpoint: i.EndpointEntry) -> tuple[str, str]:
+        """Returns the names in the store of the receiver's route, and of what is its route for other kinds.
+
+        They are valid in all processes; endpoint numbers are not.
+        """
+        shared = destination_route(endpoint.destination)
+        own = endpoint_route(self.receivers.by_number[endpoint.endpoint].name)
+        return (own, shared) if self.is_apart(endpoint) else (shared, own)
 
     def route_name(self, endpoint: i.EndpointEntry) -> str:
-        """Returns the route's name in the store. It is valid in all processes; endpoint numbers are not."""
-        if self.is_apart(endpoint):
-            return endpoint_route(self.receivers.by_number[endpoint.endpoint].name)
-        return destination_route(endpoint.destination)
+        """Returns the name of the receiver's route in the store."""
+        return self.route_names(endpoint)[0]
 
     def extend(self, endpoint: i.EndpointEntry, wait: float) -> float:
         """Sets the route's deadline to `wait` ms from now, unless a later one is set.
@@ -43,13 +51,21 @@
         Returns now + `wait`, in ms on the store's clock (Core.now).
         """
         until = self.core.loop.time() + wait / 1000
-        route = self.route(endpoint)
+        route = self.route_name(endpoint)
         self.deadlines.set(route, max(self.deadlines.times.get(route, -math.inf), until))
         return until * 1000 + self.core.epoch
 
+    def remaining(self, endpoint: i.EndpointEntry) -> float:
+        """Returns the ms until calls to the receiver are allowed; 0: they are."""
+        times = self.deadlines.times
+        if not times:
+            return 0.0
+        until = max(times.get(route, -math.inf) for route in self.route_names(endpoint))
+        return max(0.0, (until - self.core.loop.time()) * 1000)
+
     def has_passed(self, endpoint: i.EndpointEntry) -> bool:
-        """Whether calls to the route are allowed: it has no deadline, or its deadline has passed."""
-        return self.core.loop.time() >= self.deadlines.times.get(self.route(endpoint), -math.inf)
+        """Whether calls to the receiver are allowed: it has no deadline, or its deadline has passed."""
+        return self.remaining(endpoint) <= 0
 
     def drop_expired(self) -> None:
         """Removes the deadlines that have passed."""
--- a/rainpier/structures/schedule.py
+++ b/rainpier/structures/schedule.py
@@ -4,7 +4,7 @@
 import math
 from typing import Generic, TypeVar
 
-Key = TypeVar("Key", bound=int | tuple)
+Key = TypeVar("Key", bound=int | str | tuple)
 MIN_STALE = 64  # stale heap entries that are allowed besides one for each key
 
 
