Give an endpoint that changes its destination or kind another number

Callers saw: a host that discovery moved to another destination served neither the old nor the new one: messages waited until their deadline or used up their attempts on refusals of the node's last check. A host whose kind changed got calls of several messages that its new kind does not take.

Cause: policy and transports keep with an endpoint's number its destination, shared or separate state, batch size and transport, as they were first; an update under the same number replaced some of them.

Change: such an endpoint is registered under a new number and the former one is gone. Deadlines follow by the route's name; a known outage is told for the new number.

--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -133,15 +133,27 @@
             zones.add_endpoint(zone)
             if known is not None:
                 zones.remove_endpoint(known.entry.zone)
-        if known is None or known.entry.destination != endpoint.destination:
-            self.destinations[endpoint.destination] += 1
-            if known is not None:
-                self.decrement_receivers(known.entry.destination)
+        self.receivers.update(entry, endpoint.name, address)
         if known is None:
+            self.destinations[endpoint.destination] += 1
             self.new_endpoints.append(entry)
-        self.receivers.update(entry, endpoint.name, address)
         return entry
 
+    def recall_outage(self, entry: i.EndpointEntry) -> None:
+        """Lets an outage of the endpoint's route be told for the number that takes its place."""
+        route = self.retry_after.route_name(entry)
+        since = self.core.store.state.outages.get(route)
+        if since is not None:
+            self.earlier_outages[route] = since
+
+    def retire(self, name: str) -> None:
+        """Lets the endpoint that is known by this name, if any, get no more calls."""
+        receiver = self.receivers.by_number.get(self.numbers.get(name, 0))
+        if receiver is not None:
+            gone = replace(receiver.entry, condition=i.Condition.GONE)
+            self.receivers.update(gone, name, receiver.address)
+            self.core.push(i.ListChange(i.ListKind.DELTA, (gone,)))
+
     def decrement_receivers(self, destination: int) -> None:
         """Counts one receiver fewer for the destination, and drops the destination at 0."""
         self.destinations[destination] -= 1
@@ -149,10 +161,20 @@
             del self.destinations[destination]
 
     def assign_number(self, endpoint: DiscoveredEndpoint) -> int | None:
-        """Returns the endpoint's number in this process; None if it is gone and was not known."""
+        """Returns the endpoint's number in this process; None if it is gone and was not known.
+
+        With another destination or kind it gets another number: policy and transports keep both for a number.
+        """
         number = self.numbers.get(endpoint.name)
         if number in self.forgotten:  # the policy has dropped this number, so it can't be used again
             number = None
+        known = self.receivers.by_number.get(number) if number is not None else None
+        if known is not None and (
+            known.entry.destination != endpoint.destination or known.entry.kind != self.kinds[endpoint.kind]
+        ):
+            self.recall_outage(known.entry)
+            self.retire(endpoint.name)
+            number = None
         if number is None and endpoint.condition is not i.Condition.GONE:
             number = self.numbers[endpoint.name] = self.next_number
             self.next_number += 1
--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -16,7 +16,7 @@
     wait_until,
 )
 from sidecars import SidecarProcess, make_config_text
-from test_process import Process
+from test_process import Process, call_id
 
 from rainpier.interface import ListKind, Remembered
 from rainpier.membership.platform import parse_endpoint
@@ -121,3 +121,70 @@
                 await receiver.check_wait("new")
 
     run_with_timeout(scenario())
+
+
+# Guards against an endpoint that is healthy again for the policy because its kind changes during an outage.
+def test_an_outage_outlasts_a_change_of_the_endpoints_kind(tmp_path):
+    async def scenario():
+        async with DiscoveryServer() as discovery:
+            node = make_node(make_config(tmp_path, discovery))
+            told = []
+            node.core.push = told.append
+            for kind in ("routes", "single"):
+                entries = [parse_endpoint(endpoint_entry("r1", "127.0.0.1:1", kind=kind))]
+                node.endpoints.apply(ListKind.DELTA, entries)
+                assert [e.endpoint for e in told if isinstance(e, Remembered)] == (
+                    [2] if kind == "single" else []
+                )
+                node.store.record_outage("rr1", 5.0)
+            node.close()
+
+    run_with_timeout(scenario())
+
+
+# Guards against an endpoint that keeps the batch size of its former kind.
+def test_an_endpoint_that_changes_its_kind_gets_calls_of_the_new_size(tmp_path):
+    async def scenario():
+        async with (
+            HttpServer(lambda request, body: (200, [], b"")) as receiver,
+            DiscoveryServer() as discovery,
+        ):
+            discovery.endpoints = [endpoint_entry("r1", receiver.address, kind="bulk")]
+            async with Process(tmp_path, discovery) as sender, RespClient(sender.port) as client:
+                assert await client.request(encode_submission("first")) == "OK"
+                assert (await receiver.next_request())[0] == "/v1/messages"
+                discovery.set_endpoints(endpoint_entry("r1", receiver.address, kind="single"))
+                await wait_until(lambda: discovery.update_requests[-1][0].startswith("/v1/servers?index=2"))
+                names = [f"m{n}" for n in range(8)]
+                client.writer.write(b"".join(encode_submission(name) for name in names))
+                requests = [await receiver.next_request() for _ in names]
+                assert sorted(call_id(request) for request in requests) == names
+
+    run_with_timeout(scenario())
+
+
+# Guards against an endpoint that serves neither its former destination nor its new one.
+def test_an_endpoint_that_changes_its_destination_serves_the_new_one(tmp_path):
+    async def scenario():
+        moved, calls = False, []
+
+        def respond(request, body):
+            calls.append((dict(request.headers)[b"x-call-id"].decode(), moved))
+            return 200 if moved else 503, [], b""
+
+        async with HttpServer(respond) as receiver, DiscoveryServer() as discovery:
+            discovery.endpoints = [endpoint_entry("r1", receiver.address, destination=3)]
+            async with Process(tmp_path, discovery) as sender, RespClient(sender.port) as client:
+                assert await client.request(encode_submission("for-3", deadline_ms=2000)) == "OK"
+                await wait_until(lambda: calls)
+                discovery.set_endpoints(endpoint_entry("r1", receiver.address, destination=4))
+                await wait_until(lambda: discovery.update_requests[-1][0].startswith("/v1/servers?index=2"))
+                moved = True
+                assert await client.request(encode_submission("for-4", destination=4)) == "OK"
+                await wait_until(lambda: ("for-4", True) in calls)
+                notification = await discovery.next_notification()
+                assert (notification["message"], notification["outcome"]) == ("for-3", "handed_back")
+                assert ("for-3", True) not in calls
+            assert b"may not be sent now" not in sender.log
+
+    run_with_timeout(scenario())
