Let a known endpoint with an invalid entry get no more calls

Callers saw: an endpoint that drains or is gone went on to get calls where its entry named a kind that the settings do not list, or had another field that can't be used.

Cause: parse_endpoints and EndpointRegistry.register skipped an invalid entry before they looked at its condition, and a known endpoint kept what discovery had just replaced.

Change: a known endpoint whose entry can't be used is gone until a usable one comes, as it already was in a whole list. An unknown one is skipped and logged as before.

--- a/rainpier/membership/platform.py
+++ b/rainpier/membership/platform.py
@@ -71,16 +71,24 @@
 
 
 def parse_endpoints(raw: dict) -> list[DiscoveredEndpoint]:
-    """Parses the entries of a response; an invalid one is logged and skipped."""
+    """Parses the entries of a response; an invalid one is logged, and its endpoint counts as gone."""
     endpoints = []
     for row in raw["hosts"]:
         try:
             endpoints.append(parse_endpoint(row))
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             log.error("discovery: invalid entry skipped: %r: %.200r", error, row)
+            name = row.get("host") if isinstance(row, dict) else None
+            if isinstance(name, str) and 0 < len(name) <= MAX_NAME:
+                endpoints.append(unusable_endpoint(name))
     return endpoints
 
 
+def unusable_endpoint(name: str) -> DiscoveredEndpoint:
+    """Returns an entry for an endpoint whose own entry is invalid: it was known, or it is ignored."""
+    return DiscoveredEndpoint(name, "", "", "", 0, Condition.GONE, 0.0, 0.0)
+
+
 def parse_version(cached: dict) -> int | None:
     """Returns the version of a cached list of endpoints; None if the version is invalid or the list empty."""
     version = cached.get("seq")
--- a/rainpier/node/endpoints.py
+++ b/rainpier/node/endpoints.py
@@ -99,18 +99,20 @@
     def register(self, endpoint: DiscoveredEndpoint) -> i.EndpointEntry | None:
         """Adds or updates one endpoint.
 
-        Returns None, and logs an error, for an unknown kind or an invalid address; also None for an endpoint
-        that is gone and was not known.
+        Returns None for an endpoint that is gone and was not known; also None, and logs an error, for one of
+        an unknown kind or with an invalid address. If that one was known, it gets no more calls.
         """
         kinds, zones = self.kinds, self.core.zones
+        if not endpoint.address:  # the source has logged why
+            return self.retire(endpoint.name)
         if endpoint.kind not in kinds:
             log.error("discovery: endpoint %s skipped: unknown class: %s", endpoint.name, endpoint.kind)
-            return None
+            return self.retire(endpoint.name)
         try:
             address = parse_address(endpoint.address, endpoint.name)
         except AddressError as failure:
             log.error("discovery: endpoint skipped: %s", failure)
-            return None
+            return self.retire(endpoint.name)
         number = self.assign_number(endpoint)
         if number is None:
             return None
--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -188,3 +188,42 @@
             assert b"may not be sent now" not in sender.log
 
     run_with_timeout(scenario())
+
+
+INVALID_FIELDS = [
+    {"kind": "unknown"}, {"kind": ""}, {"address": "nowhere"}, {"address": ""}, {"rate": float("nan")}, {"destination": -1},
+    {"health": "UNHEARD"},
+]  # fmt: skip
+
+
+# Guards against a drain that is missed since its entry names a kind that no list has, or has another invalid field.
+@pytest.mark.parametrize("health", ["DRAINING", "DELETED", "SERVING"])
+def test_a_known_endpoint_whose_entry_is_invalid_gets_no_more_calls(tmp_path, health):
+    """Each endpoint has a destination of its own, and another invalid field in its second entry."""
+
+    async def scenario():
+        async with (
+            HttpServer(lambda request, body: (200, [], b"")) as receiver,
+            DiscoveryServer() as discovery,
+        ):
+            entries = [
+                {"name": f"r{n}", "address": receiver.address, "destination": n}
+                for n in range(len(INVALID_FIELDS))
+            ]
+            discovery.endpoints = [endpoint_entry(**entry) for entry in entries]
+            async with Process(tmp_path, discovery) as sender, RespClient(sender.port) as client:
+                for n, _ in enumerate(entries):
+                    assert await client.request(encode_submission(f"first-{n}", destination=n)) == "OK"
+                    assert call_id(await receiver.next_request()) == f"first-{n}"
+                changed = [
+                    entry | {"health": health} | invalid
+                    for entry, invalid in zip(entries, INVALID_FIELDS, strict=True)
+                ]
+                discovery.set_endpoints(*(endpoint_entry(**entry) for entry in changed))
+                await wait_until(lambda: discovery.update_requests[-1][0].startswith("/v1/servers?index=2"))
+                for n, _ in enumerate(entries):
+                    await client.request(encode_submission(f"second-{n}", deadline_ms=300, destination=n))
+                await asyncio.sleep(0.5)
+                assert receiver.requests.empty()
+
+    run_with_timeout(scenario())
