--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -57,6 +57,11 @@
     FAILED = 3
 
 
+# Which endpoints remember keys together, the strictest last: all of a destination, those of a cell, of a zone.
+# A destination is in one cell, so that "cell" differs from "all" only in that nothing is handed back.
+GROUPS = ("all", "cell", "zone")
+
+
 @dataclass(slots=True, frozen=True)
 class MessageClass:
     """The delivery rules that messages of one class share."""
@@ -67,7 +72,7 @@
     deadline: float = 10000.0  # given up this long after its first submission
     late_worth: float = 0.0  # fraction of the worth that remains at the deadline
     effect: Effect = Effect.SAFE
-    group: str = "all"  # KEYED: which endpoints remember keys together: "all" or "zone"
+    group: str = "all"  # KEYED: which endpoints remember keys together, one of GROUPS
     repeat_window: float = 0.0  # KEYED: how long a receiver remembers a key
     in_order: bool = False  # messages of a key are sent one at a time, in the order of their acceptance
 
@@ -77,8 +82,8 @@
             return self
         if effect > self.effect:
             return replace(self, effect=effect, group=group, repeat_window=repeat_window)
-        window, zoned = min(repeat_window, self.repeat_window), "zone" in (group, self.group)
-        return replace(self, repeat_window=window, group="zone" if zoned else self.group)
+        window, stricter = min(repeat_window, self.repeat_window), max(group, self.group, key=GROUPS.index)
+        return replace(self, repeat_window=window, group=stricter)
 
 
 @dataclass(slots=True, frozen=True)
@@ -153,6 +158,8 @@
                     f"classes: {cls.name} must have a deadline above 0 and an aim and repeat_window of at "
                     f"least 0, not {cls.deadline}, {cls.aim} and {cls.repeat_window} ms"
                 )
+            if cls.group not in GROUPS:
+                raise ValueError(f"classes: {cls.name} must have a group of {GROUPS}, not {cls.group!r}")
         for kind in self.kinds:
             if kind.batch < 1:
                 raise ValueError(f"kinds: {kind.name} must have a batch of at least 1, not {kind.batch}")
--- a/rainpier/store/entry.py
+++ b/rainpier/store/entry.py
@@ -41,7 +41,7 @@
     end: str = ""  # the decided final status, which the completion notification carries
     retry: int = 0  # ms after which the client may submit again, sent with the final status
     effect: int = 0  # the strictest Effect that its class had since acceptance, with its group and window
-    group: str = "all"  # which endpoints remember keys together: "all" or "zone"
+    group: str = "all"  # which endpoints remember keys together, one of interface.GROUPS
     window: float = 0.0  # how long a receiver remembers a key, ms
     reply_to: str = ""  # the reply queue for the final status
     correlation: str = ""  # the correlation id to use there
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -69,7 +69,7 @@
 HEX_ID, HEX_TOKEN, KEYED, SNAPSHOT, REPLY, TENANT, PLACED = 1, 2, 4, 8, 16, 32, 64
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 ENDS = ("", GIVEN_UP, HANDED_BACK)  # final statuses; records hold the position
-GROUPS = ("all", "zone")  # records hold the position
+GROUPS = ("all", "zone", "cell")  # records hold the position
 
 
 class Kind(IntEnum):
--- a/tests/store/test_places.py
+++ b/tests/store/test_places.py
@@ -8,7 +8,7 @@
 from standins.disk import Disk
 
 from rainpier.attempt.rules import may_repeat, may_resubmit
-from rainpier.interface import Effect, Outcome
+from rainpier.interface import GROUPS, Effect, Outcome
 from rainpier.store import records as codec
 from rainpier.store.entry import UNKNOWN_PLACE, AttemptPlace, Entry
 from rainpier.store.records import Kind
@@ -46,6 +46,13 @@
     return entry
 
 
+@pytest.mark.parametrize("group", GROUPS)
+def test_group_is_recovered(group):
+    store = open_store()
+    entry = accept(store, group=group)
+    assert open_store(Disk(store.files.image())).entries[entry.number].group == group
+
+
 @pytest.mark.parametrize("place", [
     AttemptPlace("floor-2", 7), AttemptPlace("", 0), UNKNOWN_PLACE, AttemptPlace("é" * 300, 2**32 - 1),
 ])  # fmt: skip
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -80,7 +80,7 @@
 
 
 def test_bound_by_is_at_least_as_strict_as_either_class():
-    groups = ("all", "zone")
+    groups = interface.GROUPS
     classes = [
         replace(SAFE, effect=e, group=g, repeat_window=w)
         for e in interface.Effect
@@ -92,9 +92,8 @@
         assert bound.effect == max(one.effect, two.effect)
         for cls in (one, two):
             if cls.effect is bound.effect is interface.Effect.KEYED:
-                assert bound.repeat_window <= cls.repeat_window and (
-                    bound.group == "zone" or cls.group == "all"
-                )
+                assert bound.repeat_window <= cls.repeat_window
+                assert groups.index(bound.group) >= groups.index(cls.group)
 
 
 def test_a_new_class_can_be_used_and_the_others_keep_what_was_learned():
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -340,6 +340,7 @@
 
 @pytest.mark.parametrize("change", [
     {"listen": "nowhere"}, {"discovery": "127.0.0.1:port"}, {"settings": {"classes": [{"semantics": "odd"}]}},
+    {"settings": {"classes": [{"semantics": "guarded", "group": "odd"}]}}, {"settings": {"classes": [{"group": 1}]}},
     {"settings": 5}, {"known": []}, {"limits": {"sockets": -1}}, {"seed": "xyz"}, {"listen": None},
     {"settings": {"rules": {"fall": 0.0}}},
 ])  # fmt: skip
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -232,6 +232,31 @@
     run_with_timeout(scenario())
 
 
+# Guards against a group that settings may have and the store can't record: no submission was answered any more.
+def test_a_message_remembered_by_cell_is_repeated_and_never_handed_back(tmp_path):
+    async def scenario():
+        async with (
+            ZoneReceiver(failing=True) as near,
+            ZoneReceiver(failing=True) as far,
+            DiscoveryServer() as discovery,
+        ):
+            discovery.endpoints = discovered(near, far, ("a", "b"), moved=False)
+            for entry in discovery.endpoints:
+                entry["health"] = "SERVING"
+            classes = [PLATFORM_CLASSES[0], PLATFORM_CLASSES[1] | {"group": "cell"}]
+            settings = {"classes": classes, "zones": ["a", "b"], "weights": "nominal"}
+            async with Process(tmp_path, discovery, **settings) as sender:
+                await submit(sender.port, *ORDERS, destination=3)
+                await wait_until(lambda: near.ran and far.ran)
+                await sender.kill()
+            async with Process(tmp_path, discovery, **settings) as sender:
+                notified = [await discovery.next_notification() for _ in ORDERS]
+                assert {row["outcome"] for row in notified} == {"given_up"}
+                assert set(near.ran) & set(far.ran)
+
+    run_with_timeout(scenario())
+
+
 UNLISTED = {
     "one": Edit(Names(("a", "b"), "x", "a"), Names(("a", "b"), "x", "a")),
     "two": Edit(Names(("a", "b"), "x", "y"), Names(("a", "b"), "x", "y")),
