--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -57,7 +57,7 @@
     FAILED = 3
 
 
-# Which endpoints remember keys together, the strictest last: all of a destination, those of a cell, of a zone.
+# Which endpoints remember keys together, the strictest last: all, those of a cell, those of a zone.
 # A destination is in one cell, so that "cell" differs from "all" only in that nothing is handed back.
 GROUPS = ("all", "cell", "zone")
 
