End the import cycle of attempt/rules.py and store/entry.py; no change of behaviour

ARCHITECTURE.md asks for its end. Platform.seed of the model was used nowhere (docs/ROADMAP.md).

Change: the four functions on entries are in store/repeats.py; rules.py knows no entry. Platform.seed is removed.

--- a/rainpier/config/model.py
+++ b/rainpier/config/model.py
@@ -360,7 +360,6 @@
     """
 
     discovery: tuple[str, int] = ("", 0)  # address of endpoint discovery
-    seed: int = 0  # of the random numbers
     known: dict = field(default_factory=dict)  # the endpoint list last received, in discovery's JSON form
     tenants: tuple[tuple[str, float], ...] = ()  # name and quota, in messages a second
     late_halves: bool = False
--- a/rainpier/node/completions.py
+++ b/rainpier/node/completions.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable, Container
 
 from .. import interface as i
-from ..attempt.rules import RULES, may_resubmit
+from ..attempt.rules import RULES
 from ..observe.events import record
 from ..sinks.sink import CompletionSink
 from ..store.entry import Entry
 from ..store.records import GIVEN_UP, HANDED_BACK
+from ..store.repeats import may_resubmit
 from ..structures.schedule import Schedule
 from ..submission import Submission
 from .core import Core
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -9,10 +9,11 @@
 from collections.abc import Iterable
 
 from .. import interface as i
-from ..attempt.rules import RULES, may_repeat
+from ..attempt.rules import RULES
 from ..carriers.http.receivers import Call, CallResult, Receiver, Receivers, Transports, split_batches
 from ..observe.events import record
 from ..store.entry import AttemptPlace, Entry
+from ..store.repeats import may_repeat
 from .attempt_places import AttemptPlaces, endpoint_checksum
 from .call_log import log_attempt, log_call, log_held_back
 from .completions import Completions
--- a/tests/store/test_places.py
+++ b/tests/store/test_places.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 from standins.disk import Disk
 
-from rainpier.attempt.rules import may_repeat, may_resubmit
 from rainpier.interface import GROUPS, Effect, Outcome
 from rainpier.store import records as codec
 from rainpier.store.entry import UNKNOWN_PLACE, AttemptPlace, Entry
 from rainpier.store.records import Kind
+from rainpier.store.repeats import may_repeat, may_resubmit
 from rainpier.store.store import Store
 
 from .workload import DISK
