--- a/tests/store/test_places.py
+++ b/tests/store/test_places.py
@@ -125,3 +125,26 @@
     assert [name for name, entry in entries.items() if may_resubmit(entry, NOW)] == ["everywhere", "untried"]
     again = open_store(Disk(store.files.image()))
     assert {entry.id: entry for entry in again.entries.values()} == entries
+
+
+# Guards against a message that counts as having run because of damage, and goes to a zone where it did not run.
+@pytest.mark.parametrize("relocated", [False, True])
+def test_the_zone_of_a_message_that_counts_as_having_run_after_damage_is_not_known(relocated):
+    store = open_store()
+    entry, _ = accept(store), accept(store, "damaged")
+    entry.attempts = 1
+    assert store.record_attempts([entry], ATTEMPT_AT, AttemptPlace("south", 12))
+    image = store.files.image()
+    name = next(name for name in image if name.endswith(".seg"))
+    data = bytearray(image[name])
+    data[data.index(b"damaged")] ^= 1
+    store = open_store(Disk(image | {name: bytes(data)}))
+    entry = store.entries[entry.number]
+    assert store.recovered.presumed_run == [entry.number] and entry.risky_at == ATTEMPT_AT
+    if relocated:
+        store.rotate(NOW, whole=True)
+        entry = open_store(Disk({n: d for n, d in store.files.image().items() if n != name})).entries[
+            entry.number
+        ]
+    entry.record_outcome(Outcome.RESET)
+    assert not any(may_repeat(entry, NOW, zone) for zone in ("", "north", "south"))
