--- a/rainpier/node/attempt_places.py
+++ b/rainpier/node/attempt_places.py
@@ -9,12 +9,14 @@
 import zlib
 from collections.abc import Iterator
 from dataclasses import replace
+from functools import lru_cache
 
 from .. import interface as i
 from ..store.entry import AttemptPlace, Entry
 from .core import Core
 
 log = logging.getLogger(__name__)
+MAX_CACHED_PLACES = 4096  # of endpoints that were called last
 MAX_EARLIER_ENDPOINTS = 10_000  # whose zones are remembered after they were released
 
 
@@ -26,6 +28,12 @@
     return zlib.crc32(name.encode())
 
 
+@lru_cache(MAX_CACHED_PLACES)
+def attempt_place(name: str, zone: str) -> AttemptPlace:
+    """Returns what the store records of an attempt at the endpoint with this name in this zone."""
+    return AttemptPlace(zone, endpoint_checksum(name))
+
+
 class AttemptPlaces:
     """Compares the recorded places of attempts with the zones in which the endpoints are listed."""
 
--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -14,7 +14,7 @@
 from ..observe.events import record
 from ..store.entry import AttemptPlace, Entry
 from ..store.repeats import may_repeat
-from .attempt_places import AttemptPlaces, endpoint_checksum
+from .attempt_places import AttemptPlaces, attempt_place
 from .call_log import log_attempt, log_call, log_held_back
 from .completions import Completions
 from .core import Core
@@ -190,7 +190,7 @@
 
     def place_of(self, receiver: Receiver) -> AttemptPlace:
         """Returns what the store records of the receiver of an attempt."""
-        return AttemptPlace(self.zone_of(receiver), endpoint_checksum(receiver.name))
+        return attempt_place(receiver.name, self.zone_of(receiver))
 
     def remove_from_call(self, call: Call, entry: Entry) -> None:
         """Ends the attempt of a message, of which no byte was written, and takes it out of its call."""
--- a/rainpier/store/records.py
+++ b/rainpier/store/records.py
@@ -356,10 +356,11 @@
     attempts: list[tuple[int, int]]  # number of each message, and its attempts so far
 
 
-def encode_attempt(attempt: AttemptRecord) -> bytes:
-    """Encodes the payload of an ATTEMPT record."""
-    items = b"".join(BEGUN.pack(*item) for item in attempt.attempts)
-    return ATTEMPT.pack(attempt.time) + encode_place(attempt.place) + items
+def encode_attempt(time: float, place: AttemptPlace, entries: list[Entry]) -> bytes:
+    """Encodes the payload of an ATTEMPT record. `time`: Unix ms."""
+    parts = [ATTEMPT.pack(time), encode_place(place)]
+    parts += [BEGUN.pack(entry.number, entry.attempts) for entry in entries]
+    return b"".join(parts)
 
 
 def decode_attempt(kind: int, data: bytes) -> AttemptRecord:
--- a/rainpier/store/store.py
+++ b/rainpier/store/store.py
@@ -713,8 +713,7 @@
         `now`: Unix time, ms; `place`: of the endpoint.
         """
         entries = list(entries)
-        attempt = codec.AttemptRecord(now, place, [(e.number, e.attempts) for e in entries])
-        if not self.write_optional([(Kind.ATTEMPT, codec.encode_attempt(attempt))]):
+        if not self.write_optional([(Kind.ATTEMPT, codec.encode_attempt(now, place, entries))]):
             self.read_only = True
             return False
         self.state.latest_time = max(self.state.latest_time, now)
--- a/tests/store/test_places.py
+++ b/tests/store/test_places.py
@@ -78,8 +78,10 @@
 @given(PLACES, PLACES, st.lists(st.tuples(st.integers(0, 2**64 - 1), st.integers(0, 2**32 - 1)), max_size=5))
 @example(AttemptPlace(""), AttemptPlace(None, 5), [])
 def test_records_of_attempts_are_decoded_as_they_were_encoded(begun, risky, attempts):
+    entries = [Entry(number, "m", "order", 3, 0, "", 9e12, b"", count) for number, count in attempts]
+    payload = codec.encode_attempt(ATTEMPT_AT, begun, entries)
     record = codec.AttemptRecord(ATTEMPT_AT, begun, attempts)
-    assert codec.decode_attempt(Kind.ATTEMPT, codec.encode_attempt(record)) == record
+    assert codec.decode_attempt(Kind.ATTEMPT, payload) == record
     entry = Entry(
         1,
         "m",
@@ -104,7 +106,7 @@
 
 
 def test_a_record_that_ends_within_the_name_of_a_zone_is_unreadable():
-    payload = codec.encode_attempt(codec.AttemptRecord(ATTEMPT_AT, AttemptPlace("floor-2", 1), []))
+    payload = codec.encode_attempt(ATTEMPT_AT, AttemptPlace("floor-2", 1), [])
     for size in range(codec.ATTEMPT.size + codec.PLACE.size, len(payload)):
         with pytest.raises(codec.Unreadable):
             codec.decode_attempt(Kind.ATTEMPT, payload[:size])
