Take deadlines from the store at a reload, where a destination may have another id

Callers saw: a destination that had asked for a pause of 2 s was called 0.04 s into it, after it was removed by one reload and came back under another number by the next one.

Cause: the store moves a deadline to the new id, but RetryAfterDeadlines had it under the old one.

Change: the deadlines of the store are set again at each reload, unless a later one is known.

Measured: test_a_wait_outlasts_a_destination_that_comes_back_under_another_number fails before and passes; 18 tests of endpoint changes pass.

--- a/rainpier/node/in_flight.py
+++ b/rainpier/node/in_flight.py
@@ -55,7 +55,8 @@
         self.reconfigure()
 
     def reconfigure(self) -> None:
-        """Takes the broker options from the current configuration, for endpoints that are added later."""
+        """Takes broker options and deadlines from the current configuration, for endpoints added later."""
+        self.retry_after.load()
         self.receivers.transports = load_brokers(self.core)
 
     def report_store_state(self) -> None:
--- a/rainpier/node/retry_after.py
+++ b/rainpier/node/retry_after.py
@@ -17,16 +17,24 @@
     """
 
     def __init__(self, core: Core, receivers: Receivers) -> None:
-        """Sets the deadlines that an earlier process recorded.
+        self.core, self.receivers = core, receivers
+        self.deadlines: Schedule[str] = Schedule()  # by the route's name in the store: loop time, s
+        self.load()
+
+    def load(self) -> None:
+        """Sets the deadlines that the store has: of an earlier process, or under a destination's new id.
 
         Not without configured destinations, on the platform, where a restart ends a deadline.
         """
-        self.core, self.receivers = core, receivers
-        self.deadlines: Schedule[str] = Schedule()  # by the route's name in the store: loop time, s
-        if core.config.destinations:
-            for route, until in core.store.state.retry_after.items():
-                if until > core.now:
-                    self.deadlines.set(route, (until - core.epoch) / 1000)
+        if not self.core.config.destinations:
+            return
+        for route, until in self.core.store.state.retry_after.items():
+            if until > self.core.now:
+                self.set_latest(route, (until - self.core.epoch) / 1000)
+
+    def set_latest(self, route: str, until: float) -> None:
+        """Sets a route's deadline (loop time, s), unless a later one is set."""
+        self.deadlines.set(route, max(self.deadlines.times.get(route, -math.inf), until))
 
     def is_apart(self, endpoint: i.EndpointEntry) -> bool:
         """Whether the receiver is a route of its own."""
@@ -51,8 +59,7 @@
         Returns now + `wait`, in ms on the store's clock (Core.now).
         """
         until = self.core.loop.time() + wait / 1000
-        route = self.route_name(endpoint)
-        self.deadlines.set(route, max(self.deadlines.times.get(route, -math.inf), until))
+        self.set_latest(self.route_name(endpoint), until)
         return until * 1000 + self.core.epoch
 
     def remaining(self, endpoint: i.EndpointEntry) -> float:
--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -81,6 +81,25 @@
     run_with_timeout(scenario())
 
 
+# Guards against the same over two edits of a running sidecar, after which the destination has another id.
+def test_a_wait_outlasts_a_destination_that_comes_back_under_another_number(tmp_path):
+    async def scenario():
+        async with WaitingReceiver() as receiver:
+            other = {"beta": (2, ["127.0.0.1:1"])}
+            text = make_config_text(other | {"alpha": (1, [receiver.address])})
+            async with SidecarProcess(tmp_path, text) as sidecar, RespClient(sidecar.port) as client:
+                assert await client.request(encode_submission("refused", destination=1)) == "OK"
+                await wait_until(lambda: receiver.calls)
+                await sidecar.wait_for_status(lambda status: not status["out"])
+                assert (await sidecar.reload(make_config_text(other)))["result"] == "applied"
+                text = make_config_text(other | {"alpha": (7, [receiver.address])})
+                assert (await sidecar.reload(text))["result"] == "applied"
+                assert await client.request(encode_submission("new", destination=7)) == "OK"
+                await receiver.check_wait("new")
+
+    run_with_timeout(scenario())
+
+
 # Guards against an outage that is forgotten by the same edit, so that a recovering endpoint gets full traffic.
 @pytest.mark.parametrize(("stored", "kind", "moved"), [
     ({"d3": 5.0}, "routes", {"rr1": 5.0, "rr2": 5.0}), ({"rr1": 5.0}, "single", {"d3": 5.0}),
--- a/tests/test_zone_edits.py
+++ b/tests/test_zone_edits.py
@@ -4,7 +4,7 @@
 import tempfile
 from pathlib import Path
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from peers import DiscoveryServer, endpoint_entry, make_config, make_node
 
@@ -99,11 +99,21 @@
         if self.moved:
             zone = self.node.core.zones.number(self.order.risky_place.zone)
             assert zone == UNKNOWN_ZONE
-            assert ZoneLost(self.order.number) in self.events or not self.node.sender.messages
+            assert ZoneLost(self.order.number) in self.events
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(STEPS)
+@example(
+    [
+        ("list", {"r1": "a", "r2": "b"}),
+        ("attempt", "r1", None),
+        ("list", {"r2": "b"}),
+        ("release",),
+        ("list", {"r1": "b", "r2": "a"}),
+    ]
+)
+@example([("list", {"r1": "a", "r2": "b"}), ("attempt", "r1", {"r1": "b", "r2": "a"})])
 def test_an_order_is_allowed_only_where_the_endpoint_that_may_have_run_it_was_and_is(steps):
     async def scenario(folder):
         async with DiscoveryServer() as discovery:
