Failing tests: a destination back from an outage gets too many calls from a large fleet

Nothing played an outage in which calls are refused with a retry-after deadline at its end, nor one whose calls hang or fail, before a large fleet.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -119,6 +119,8 @@
             parts = (head, h11.Data(content), h11.EndOfMessage())
             self.write_response(writer, b"".join(http.send(part) or b"" for part in parts))
             await writer.drain()
+            if http.our_state is not h11.DONE:  # the response says that the connection is closed
+                return
             http.start_next_cycle()
 
     def on_request(self, writer):
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -2,9 +2,9 @@
 
 The decisions are those of the real policy; clients, calls, limits and connection tables are simple models.
 A limit counts the calls of the last `limit_window` ms, refused ones too if `counts_refused`. A destination
-with few connections refuses calls on new ones while its connection table is full. During an outage it accepts
-no connections. After it the capacity starts low and grows, and calls beyond the capacity are refused. Each
-destination has one endpoint of the same number. Times are simulated ms from the start.
+with few connections refuses calls on new ones while its connection table is full. During an outage calls fail
+as its kind says (OutageKind). After it the capacity starts low and grows, and calls beyond the capacity are
+refused. Each destination has one endpoint of the same number. Times are simulated ms from the start.
 """
 
 import heapq
@@ -13,6 +13,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from rainpier import interface as i
 from rainpier.policy import Sender
@@ -35,6 +36,19 @@
 MEDIAN_CALL_MS = 220.0  # ms that an admitted call takes
 
 
+INFORMED_SHARE = 2 / 3  # of the calls before a failure, above which the senders have broken the overload rule
+SILENT_CALL_MS = 60_000.0  # longer than any time-out of a call
+
+
+class OutageKind(Enum):
+    """What happens to the calls that arrive during an outage."""
+
+    DOWN = "down"  # connections are refused
+    SHUT = "shut"  # calls are refused, with a retry-after deadline at its end if one is sent
+    HUNG = "hung"  # no response
+    FAILING = "failing"  # status 500
+
+
 @dataclass
 class Destination:
     """A destination and its limit, which may change over time."""
@@ -50,12 +64,15 @@
     retry_after_share: float = 0.3  # share of refusals with a retry-after deadline
     demand_deviation: float = 0.5  # standard deviation of the logarithm of the demand
     outage: tuple[float, float] = (math.inf, math.inf)  # begin and end, ms
+    outage_kind: OutageKind = OutageKind.DOWN
+    shut_retry_after_share: float = 0.8  # share of the refusals of a SHUT outage with a retry-after deadline
     call_size: float = 1.0  # messages in a call, by which the number of submitted messages is multiplied
     hot_keys: int = 0  # number of keys that share a part of its ordered messages (SimulatedFleet.hot_share)
     classes: frozenset[int] = frozenset()  # class numbers that are sent here; empty: all
     counted_calls: deque[float] = field(default_factory=deque)  # times (ms) of the calls within the window
     open_connections: int = 0
-    seen: Counter[str] = field(default_factory=Counter)
+    informed: set[int] = field(default_factory=set)  # senders that had a call fail during the outage
+    calls_after_outage: list[tuple[float, int]] = field(default_factory=list)  # time of arrival, sender
 
     def accepts_class(self, cls: int) -> bool:
         """Tells whether messages of the class with this number are sent here."""
@@ -66,6 +83,23 @@
         recovered = min(1.0, max(0.0, (now - self.outage[1]) / COLD_MS)) if now >= self.outage[1] else 1.0
         return self.limit(now) * (COLD_SHARE + WARMING_SHARE * recovered if recovered < 1 else 1.0)
 
+    def overload(self, factor: float, span: float) -> float:
+        """Returns the largest share of the calls that the overload rule allows after the outage.
+
+        factor, span (ms): Settings.overload_factor and Settings.fall. Above 1 the destination fails again. Only
+        spans count in which over INFORMED_SHARE of the calls came from informed senders.
+        """
+        largest, first = 0.0, 0
+        for last, (arrived_at, _) in enumerate(self.calls_after_outage):
+            while self.calls_after_outage[first][0] <= arrived_at - span:
+                first += 1
+            within = self.calls_after_outage[first : last + 1]
+            informed = sum(sender in self.informed for _, sender in within)
+            if informed > INFORMED_SHARE * len(within):
+                expected = factor * self.capacity(arrived_at) * span / 1000
+                largest = max(largest, len(within) / allowed_calls(expected))
+        return largest
+
     def admit(self, now: float) -> bool:
         """Returns whether the limit admits a call that arrives at `now`, and counts the call."""
         while self.counted_calls and self.counted_calls[0] <= now - self.limit_window:
@@ -76,6 +110,12 @@
         return admitted
 
 
+def allowed_calls(expected: float) -> float:
+    """Returns the calls from which on a cold destination fails, where the rule allows `expected` in the mean."""
+    deviations = 3 if expected < 30 else 2
+    return expected + deviations * (math.sqrt(expected) + 1)
+
+
 @dataclass
 class FleetResult:
     """Totals of a simulation over all senders."""
@@ -260,9 +300,11 @@
         }
         destination_of |= {number: message.destination for number, message in sender.messages.items()}
         calls: dict[int, list[tuple[int, int]]] = {}
+        timeouts: dict[int, float] = {}  # ms, by endpoint
         for action in sender.handle(now, events):
             match action:
-                case i.Send(message, endpoint):
+                case i.Send(message, endpoint, timeout):
+                    timeouts[endpoint] = timeout
                     calls.setdefault(endpoint, []).append((message, sender.messages[message].attempts - 1))
                 case i.Refuse(message) | i.Fail(message):
                     self.on_not_delivered(now, index, action, self.destinations[destination_of[message]])
@@ -272,7 +314,7 @@
                 case i.CloseIdle(endpoint):
                     self.close_idle(index, self.destinations[endpoint])
         for endpoint, attempts in calls.items():
-            self.begin_call(now, index, self.destinations[endpoint], attempts)
+            self.begin_call(now, index, self.destinations[endpoint], attempts, timeouts[endpoint])
 
     def fire_timer(self, now: float, index: int, number: int) -> None:
         """Queues TimerDue, unless a newer timer has replaced this one."""
@@ -320,7 +362,12 @@
         destination.open_connections -= self.idle_connections.pop((index, destination.number), 0)
 
     def begin_call(
-        self, now: float, index: int, destination: Destination, attempts: list[tuple[int, int]]
+        self,
+        now: float,
+        index: int,
+        destination: Destination,
+        attempts: list[tuple[int, int]],
+        timeout: float,
     ) -> None:
         """Sends a call with these messages and attempt numbers, on an idle connection if there is one."""
         fresh = not self.idle_connections[index, destination.number]
@@ -337,18 +384,24 @@
             attempts,
             now,
             fresh,
+            now + timeout,
         )
 
     def on_request(
-        self, now: float, index: int, destination: Destination, attempts: list, sent_at: float, fresh: bool
+        self,
+        now: float,
+        index: int,
+        destination: Destination,
+        attempts: list,
+        sent_at: float,
+        fresh: bool,
+        give_up_at: float,
     ) -> None:
         """Handles a call that arrives at its destination: it fails, is refused, or succeeds after a while."""
         if destination.outage[0] <= now < destination.outage[1]:
-            destination.open_connections -= not fresh
-            self.close_idle(index, destination)
-            return self.finish_call(
-                now, index, destination, attempts, sent_at, i.Outcome.CONNECT_FAILED, 0.0, False
-            )
+            return self.fail_request(now, index, destination, attempts, sent_at, fresh, give_up_at)
+        if now >= destination.outage[1]:
+            destination.calls_after_outage.append((now, index))
         table_full = fresh and destination.open_connections >= destination.max_connections
         destination.open_connections += fresh and not table_full  # a refused connection is closed
         admitted = not table_full and destination.admit(now)
@@ -378,6 +431,36 @@
             table_full,
         )
 
+    def fail_request(
+        self,
+        now: float,
+        index: int,
+        destination: Destination,
+        attempts: list,
+        sent_at: float,
+        fresh: bool,
+        give_up_at: float,
+    ) -> None:
+        """Handles a call that arrives during an outage of its destination."""
+        responds_at, wait = now + NETWORK_DELAY, 0.0
+        match destination.outage_kind:
+            case OutageKind.DOWN:
+                outcome, responds_at = i.Outcome.CONNECT_FAILED, now
+                self.close_idle(index, destination)
+            case OutageKind.SHUT:
+                outcome = i.Outcome.FULL
+                if self.rng.random() < destination.shut_retry_after_share:
+                    wait = destination.outage[1] - now
+            case OutageKind.HUNG:
+                outcome, responds_at = i.Outcome.TIMEOUT, max(now, give_up_at)
+            case OutageKind.FAILING:
+                outcome = i.Outcome.ERROR
+        broken = outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.TIMEOUT)  # its connection is closed
+        destination.open_connections += fresh - broken
+        self.schedule(
+            responds_at, self.on_response, index, destination, attempts, sent_at, outcome, wait, fresh, broken
+        )
+
     def on_response(
         self,
         now: float,
@@ -388,10 +471,16 @@
         outcome: i.Outcome,
         wait: float,
         fresh: bool,
-        table_full: bool,
+        closed: bool,
     ) -> None:
-        """Handles the response to a call; its connection becomes idle unless it was refused."""
-        self.idle_connections[index, destination.number] += not table_full
+        """Handles the end of a call; its connection becomes idle unless it was refused or is closed."""
+        if (
+            now - NETWORK_DELAY < destination.outage[1]
+            and outcome is not i.Outcome.OK
+            and sent_at > destination.outage[0]
+        ):
+            destination.informed.add(index)
+        self.idle_connections[index, destination.number] += not closed
         self.finish_call(now, index, destination, attempts, sent_at, outcome, wait, fresh)
 
     def finish_call(
--- /dev/null
+++ b/tests/test_recovering_fleet.py
@@ -0,0 +1,55 @@
+"""A destination that comes back from an outage is not overloaded by the senders that saw the outage."""
+
+import pytest
+from standins.fleet import Destination, OutageKind, SimulatedFleet
+from standins.recovering import FALL_MS, OVERLOAD_FACTOR, Plan, play_all
+
+KINDS = {kind.value: kind for kind in OutageKind}
+LONG_OUTAGE = (4000.0, 13720.0)  # ms
+# Plans of real processes.
+REAL = {
+    "told-when-it-opens": Plan(1, 51, 10.0, OutageKind.SHUT, 9.7, demand=1.2, retry_after_share=1.0),
+    "some-told-when-it-opens": Plan(2, 51, 10.0, OutageKind.SHUT, 9.7),
+    "hung": Plan(5, 64, 10.0, OutageKind.HUNG, 9.7),
+}
+
+
+def overload(senders, rate, kind, seed, **destination):
+    """Returns the largest share of the allowed calls in simulated time, after an outage of 9.7 s."""
+    recovering = Destination(
+        1, lambda now: rate, kind=0, outage=LONG_OUTAGE, outage_kind=kind, **destination
+    )  # fmt: skip
+    SimulatedFleet(senders, [recovering], seed=seed).run(LONG_OUTAGE[1] + 14_000.0)
+    return recovering.overload(OVERLOAD_FACTOR, FALL_MS)
+
+
+@pytest.fixture(scope="module")
+def real_results():
+    """Returns share and description of each run of real processes."""
+    return dict(zip(REAL, play_all(list(REAL.values()), len(REAL)), strict=True))
+
+
+# All senders that were told when the destination opens called it at that instant (51 senders, incident e55760).
+@pytest.mark.parametrize("name", REAL)
+def test_real_senders_keep_the_overload_rule_after_an_outage(real_results, name):
+    share, description = real_results[name]
+    assert share <= 1.0, description
+
+
+# As above, in simulated time: a retry-after deadline ends at one instant for all senders.
+@pytest.mark.parametrize("retry_after_share", [0.0, 0.8, 1.0])
+@pytest.mark.parametrize("rate", [4.0, 10.0, 20.0])
+def test_senders_do_not_call_at_the_instant_at_which_all_retry_after_deadlines_end(rate, retry_after_share):
+    shares = [
+        overload(51, rate, OutageKind.SHUT, seed, shut_retry_after_share=retry_after_share)
+        for seed in (1, 2, 3)
+    ]
+    assert max(shares) <= 1.0, shares
+
+
+# Up to two failed calls of each sender were taken for chance, and each called on every three seconds.
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("rate", [4.0, 10.0, 20.0, 60.0])
+def test_hundreds_of_senders_with_few_failed_calls_each_keep_the_overload_rule(rate, kind):
+    shares = [overload(200, rate, KINDS[kind], seed) for seed in (1, 2, 3)]
+    assert max(shares) <= 1.0, shares
