Count probe waits and slow start from the retry-after deadline of an outage

Cause: DestinationState.on_failure counted the random wait for the next probe call from the refusal, so that it ended before the retry-after deadline, which is one instant for the fleet, and then the deadline alone counted. Slow start was counted from the refusal too: with a deadline 9 s away it began some 3 s advanced.

Change: both count from the deadline, also for a deadline and an outage that an earlier process recorded.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -344,7 +344,7 @@
         so is the rate that follows from it. In a large fleet slow_start_factor corrects this by the calls of
         this sender that pass or are refused, since it does not know of the other senders' calls.
         """
-        progress = 0.0 if self.circuit_open else (now - self.slow_start_at) / self.settings.cold
+        progress = 0.0 if self.circuit_open else max(0.0, now - self.slow_start_at) / self.settings.cold
         return self.recovery_rate(self.settings.cold_from + (1 - self.settings.cold_from) * progress)
 
     def recovery_rate(self, capacity_share: float) -> float:
@@ -431,7 +431,7 @@
         if self.circuit_open:
             # The destination recovered at some time between the last failure and now. A sender of a large
             # fleet calls seldom, so that this may be long ago.
-            self.slow_start_at = now - self.large_fleet * (now - self.slow_start_at) / 2
+            self.slow_start_at = now - self.large_fleet * max(0.0, now - self.slow_start_at) / 2
             self.failure_share = min(self.failure_share, UNHEALTHY_FAILURE_SHARE)
         elif not self.in_slow_start(now):
             # Without the part of one call: a single call shows no rate.
@@ -550,7 +550,7 @@
             or wait > self.settings.fall
         ):
             self.consecutive_failures = max(self.consecutive_failures, OPEN_AFTER_FAILURES - 1)
-            self.on_failure(now, Outcome.FULL)
+            self.on_failure(now, Outcome.FULL, wait)
         elif now >= self.next_decrease_at:
             factor = DECREASE_FACTOR ** min(OPEN_AFTER_FAILURES, self.fleet_factor)
             # In a large fleet the rate may also fall below the listed share: otherwise all senders together
@@ -578,8 +578,11 @@
                 self.next_turn_at = min(self.next_turn_at, now + self.max_turn_wait)
             self.next_turn_at = max(self.next_turn_at, now + turn_ms)
 
-    def on_failure(self, now: float, outcome: Outcome) -> None:
-        """Narrows the window, counts a failure towards an outage and sets the time of the next probe call."""
+    def on_failure(self, now: float, outcome: Outcome, wait: float = 0.0) -> None:
+        """Narrows the window, counts a failure towards an outage and sets the time of the next probe call.
+
+        wait: ms until the retry-after deadline of the response, 0 without one.
+        """
         # One failed connection opens the circuit breaker in a fleet of more than 16 senders (large_fleet
         # above 0.5): a sender may see no other, and all of them together would overload the destination.
         conclusive = outcome is Outcome.CONNECT_FAILED and self.large_fleet > 0.5
@@ -594,7 +597,8 @@
         self.failure_share += MEAN_WEIGHT * (1 - self.failure_share)
         self.uncertain_share += 0.0 if outcome.never_ran else MEAN_WEIGHT * (1 - self.uncertain_share)
         self.decrease_window()
-        self.probe_at = now + self.probe_wait
+        # From the deadline, which is the same instant for all senders of the fleet.
+        self.probe_at = now + wait + self.probe_wait
         if self.large_fleet:
             self.next_turn_at = min(self.next_turn_at, now + self.turn_interval + BURST_MS)
         unhealthy = (
@@ -603,7 +607,7 @@
             and self.consecutive_failures > 1
         )
         if self.circuit_open or unhealthy and not recent_success:
-            self.slow_start_at, self.slow_start_factor = now, 1.0
+            self.slow_start_at, self.slow_start_factor = now + wait, 1.0
 
     def adapt_batch(self, size: int, outcome: Outcome) -> None:
         """Halves max_batch when a call of several messages is reset; doubles it when one of that size passes.
@@ -1039,7 +1043,7 @@
             state.retry_after_until = max(state.retry_after_until, self.now + event.wait)
             state.uncertain_share = max(state.uncertain_share, UNHEALTHY_FAILURE_SHARE if event.down else 0.0)
             if event.down and state.guaranteed_rate:  # slow start needs a listed rate to begin at
-                state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now
+                state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now + event.wait
             self.destinations_to_check[self.destination_of[event.endpoint]] = None
 
     def suspect_outage(self, destination: int, attempts: int) -> None:
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -407,7 +407,7 @@
             state.retry_after_until = max(state.retry_after_until, self.now + event.wait)
             state.uncertain_share = max(state.uncertain_share, UNHEALTHY_FAILURE_SHARE if event.down else 0.0)
             if event.down and state.guaranteed_rate:
-                state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now
+                state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now + event.wait
 
     def on_stopping(self, event: i.Stopping) -> None:
         """Notes when the process ends."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -105,6 +105,34 @@
     assert most_in_3_s < len(times) / 3
 
 
+# All senders that were told when a destination opens made their probe calls at that instant.
+def test_probe_calls_are_spread_after_the_common_end_of_retry_after_deadlines():
+    first_calls, opens_after = [], 8000.0
+    for seed in range(100):
+        rig = Rig(senders=100, cold=11000.0, overload_factor=2.0, cold_from=0.22)
+        rig.sender = type(rig.sender)(rig.sender.settings, seed)
+        rig.do(i.ListChange(i.ListKind.CACHED, (i.EndpointEntry(7, 1, rate=10.0),)))
+        rig.arrive(1, left=60000.0)
+        rig.result(1, i.Outcome.FULL, wait=opens_after, after=0.0)
+        opens_at = rig.now + opens_after
+        first_calls += [at - opens_at for at, a in rig.run(30000.0, step=50.0) if isinstance(a, i.Send)][:1]
+    assert len(first_calls) == 100 and min(first_calls) >= 0
+    assert max(sum(at <= other < at + 100 for other in first_calls) for at in first_calls) < 10
+
+
+# Slow start was counted from the refusal, seconds before the destination opened, and began at too high a rate.
+def test_slow_start_is_counted_from_the_retry_after_deadline_of_an_outage():
+    rig = Rig(senders=40, cold=12000.0, cold_from=0.13, overload_factor=2.5)
+    list_endpoints(rig, 20.0)
+    rig.arrive(1, left=60000.0)
+    rig.result(1, i.Outcome.FULL, wait=9000.0, after=0.0)
+    refused_at = rig.now
+    while rig.tries[1] < 2:
+        rig.do(after=50.0)
+    rig.result(1, i.Outcome.OK, after=20.0)
+    assert rig.sender.states[1][0].slow_start_at >= refused_at + 9000.0
+
+
 def test_the_quota_of_a_small_tenant_allows_several_messages_in_a_large_fleet():
     """An even share of 0.3 messages a second would allow a sender hardly any."""
     tenant = (i.Tenant("small", quota_per_s=60.0),)
