Spread the next calls of a large fleet after a failed or refused call over the fleet

Cause: in a large fleet a sender calls a destination every few seconds, and opened its circuit breaker only after three failures or eleven refusals in a row. Until then nothing followed from one: after a refusal with a deadline it called at the deadline, which ends for all senders at one instant; after an error, reset or time-out within three seconds.

Change: after a call that failed or was refused, with no success in the last second, a sender of a large fleet makes its next call at a random time of DestinationState.recovery_interval, counted from the deadline. The interval follows from the settings of the overload rule and the listed rate; it is 0 where one call of each sender is within the rule. After a refusal without a deadline it ends with max_turn_wait, so that a message gets another turn in its time.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -324,6 +324,36 @@
         """
         return self.listed_share / (LISTED_RATE_TOLERANCE if self.settings.rates_rough else 1)
 
+    @property
+    def own_rate(self) -> float:
+        """Calls a second of this sender that a healthy destination is sure to take; 0: unknown."""
+        return max(self.healthy_rate, self.guaranteed_rate)
+
+    @property
+    def recovery_interval(self) -> float:
+        """Ms within which each sender of a large fleet makes one call after an outage, at a time of its own.
+
+        The calls of all that have noticed the outage are then within the overload rule, at the capacity with
+        which slow start begins. 0 where they are so if all come at once.
+        """
+        if not self.own_rate:
+            return self.max_turn_wait
+        listed_rate = max(self.healthy_rate, self.listed_share)
+        # Senders that call at least once within an outage as long as slow start, if all call equally often.
+        callers = self.settings.senders * (1 - math.exp(-listed_rate * self.settings.cold / 1000))
+        if callers < self.cold_calls(listed_rate):
+            return 0.0
+        return self.settings.fall * callers / self.cold_calls(self.own_rate)
+
+    def cold_calls(self, own_rate: float) -> float:
+        """Returns how many calls of the fleet a cold destination takes within Settings.fall.
+
+        own_rate: calls a second of this sender that it takes when it is healthy.
+        """
+        fleet_rate = own_rate * self.settings.senders
+        allowed_rate = fleet_rate * self.settings.overload_factor * self.settings.cold_from
+        return SLOW_START_MARGIN * calls_before_failure(allowed_rate * self.settings.fall / 1000)
+
     @property
     def rate_limit(self) -> float:
         """Calls a second that refusals allow, or the listed rate before the first one; infinity: no limit."""
@@ -349,12 +379,11 @@
 
     def recovery_rate(self, capacity_share: float) -> float:
         """Returns the calls a second to a destination that has this share of its usual capacity."""
-        own_rate = max(self.healthy_rate, self.guaranteed_rate)
         # Where a rate is listed the lower bound falls with the fleet's size (min_rate is divided by
         # fleet_factor again), so that those of all senders together keep the overload rule.
         lowest = self.min_rate / self.fleet_factor if self.listed_share else self.min_rate
         return max(
-            own_rate
+            self.own_rate
             * self.settings.overload_factor
             * capacity_share
             * SLOW_START_MARGIN
@@ -387,11 +416,7 @@
         The rate is that of recovery_rate.
         """
         rate_per_ms = (
-            max(self.healthy_rate, self.guaranteed_rate)
-            * self.settings.overload_factor
-            * SLOW_START_MARGIN
-            * self.slow_start_factor
-            / 1000
+            self.own_rate * self.settings.overload_factor * SLOW_START_MARGIN * self.slow_start_factor / 1000
         )
         lowest = self.min_rate / self.fleet_factor if self.listed_share else self.min_rate
         sent_after = self.last_sent_at - self.slow_start_at
@@ -609,6 +634,25 @@
         if self.circuit_open or unhealthy and not recent_success:
             self.slow_start_at, self.slow_start_factor = now + wait, 1.0
 
+    def may_have_been_out(self, now: float) -> bool:
+        """Whether a call that failed or was refused now may be a sign of an outage."""
+        return not self.circuit_open and now - self.last_success_at >= RECENT_SUCCESS_MS
+
+    def spread_next_call(self, now: float, outcome: Outcome, wait: float, fraction: float) -> None:
+        """Delays the next call after one that failed or was refused, until a time of its own.
+
+        A sender of a large fleet calls too seldom to tell an outage from a limit or from chance. All senders
+        that have noticed an outage would otherwise call again at about the same time: soon, or at the common
+        end of their retry-after deadlines. wait: ms until the deadline, 0 without one. fraction: of the
+        recovery_interval, at random.
+        """
+        interval = self.recovery_interval
+        if (
+            outcome is Outcome.FULL and not wait
+        ):  # more likely a limit: the message needs another turn in time
+            interval = min(interval, self.max_turn_wait)
+        self.next_turn_at = max(self.next_turn_at, now + wait + fraction * interval)
+
     def adapt_batch(self, size: int, outcome: Outcome) -> None:
         """Halves max_batch when a call of several messages is reset; doubles it when one of that size passes.
 
@@ -633,6 +677,12 @@
         self.window = max(1.0, min(self.window - 1, self.settings.slots / 2))
 
 
+def calls_before_failure(expected: float) -> float:
+    """Returns the calls from which on a cold destination fails, where `expected` are allowed in the mean."""
+    deviations = 3 if expected < 30 else 2
+    return expected + deviations * (math.sqrt(expected) + 1)
+
+
 def scatter(seed: int, number: int) -> int:
     """Returns a 64-bit hash of the number, which differs by seed: SplitMix64 (Steele, Lea, Flood, 2014)."""
     x = (seed + (number + 1) * 0x9E3779B97F4A7C15) & MASK_64
@@ -1307,6 +1357,9 @@
         else:
             endpoint.on_failure(self.now, event.elapsed)
             state.on_failure(self.now, event.outcome)
+        failed = event.outcome is not Outcome.OK
+        if failed and state.large_fleet and state.may_have_been_out(self.now):
+            state.spread_next_call(self.now, event.outcome, event.wait, self.rng.random())
         if state.circuit_open != was_open:
             self.open_circuit_slots += state.in_flight if state.circuit_open else -state.in_flight
             change = (
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -618,6 +618,8 @@
         else:
             endpoint.on_failure(self.now, event.elapsed)
             state.on_failure(self.now, event.outcome)
+        if event.outcome is not Outcome.OK and state.large_fleet and state.may_have_been_out(self.now):
+            state.spread_next_call(self.now, event.outcome, event.wait, self.rng.random())
         if state.circuit_open != was_open:
             change = (
                 "answers again, ramping" if was_open else f"down ({event.outcome.name.lower()}), trials only"
