Space calls to a destination whose calls fail by the recovery interval, not by half of it

Cause: a random share of an interval is half of it in the mean. After a retry-after deadline, which is one instant, it spreads calls over the interval; where each sender fails at a time of its own, calls follow each other twice as often as meant.

Change: after a failed call the wait is the interval in the mean.

Both new tests fail before.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -651,6 +651,8 @@
             outcome is Outcome.FULL and not wait
         ):  # more likely a limit: the message needs another turn in time
             interval = min(interval, self.max_turn_wait)
+        if outcome is not Outcome.FULL:  # at no common time: each sender calls once an interval in the mean
+            fraction += 0.5
         self.next_turn_at = max(self.next_turn_at, now + wait + fraction * interval)
 
     def adapt_batch(self, size: int, outcome: Outcome) -> None:
--- a/tests/test_recovering_fleet.py
+++ b/tests/test_recovering_fleet.py
@@ -53,3 +53,12 @@
 def test_hundreds_of_senders_with_few_failed_calls_each_keep_the_overload_rule(rate, kind):
     shares = [overload(200, rate, KINDS[kind], seed) for seed in (1, 2, 3)]
     assert max(shares) <= 1.0, shares
+
+
+# Senders whose calls failed called twice an interval, since their waits were half of it in the mean.
+@pytest.mark.parametrize(("senders", "rate", "seed"), [(51, 4.0, 31), (100, 6.0, 31)])
+def test_senders_whose_calls_fail_call_once_an_interval(senders, rate, seed):
+    shares = [
+        overload(senders, rate, OutageKind.FAILING, seed + offset, demand=1.0) for offset in range(-2, 3)
+    ]
+    assert max(shares) <= 1.0, shares
