Spread the first calls of restarted senders after an outage that they had noticed

Cause: a new process that knew of an outage made its probe call at once (Sender.on_remembered set no time for it). One whose earlier process had failed or refused calls, but no open circuit breaker, sent what it held at once.

Change: in a large fleet the first call to such a destination waits for a random part of the recovery interval. The simulated fleet tells a restarted sender of open circuit breakers, as the node does.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -638,20 +638,20 @@
         """Whether a call that failed or was refused now may be a sign of an outage."""
         return not self.circuit_open and now - self.last_success_at >= RECENT_SUCCESS_MS
 
-    def spread_next_call(self, now: float, outcome: Outcome, wait: float, fraction: float) -> None:
+    def spread_next_call(self, now: float, outcome: Outcome | None, wait: float, fraction: float) -> None:
         """Delays the next call after one that failed or was refused, until a time of its own.
 
         A sender of a large fleet calls too seldom to tell an outage from a limit or from chance. All senders
         that have noticed an outage would otherwise call again at about the same time: soon, or at the common
-        end of their retry-after deadlines. wait: ms until the deadline, 0 without one. fraction: of the
-        recovery_interval, at random.
+        end of their retry-after deadlines. outcome: of the call; None if an earlier process made it. wait: ms
+        until the deadline, 0 without one. fraction: of recovery_interval, at random.
         """
         interval = self.recovery_interval
-        if (
-            outcome is Outcome.FULL and not wait
-        ):  # more likely a limit: the message needs another turn in time
+        if outcome is Outcome.FULL and not wait:
+            # More likely a limit: the message needs another turn in its time.
             interval = min(interval, self.max_turn_wait)
-        if outcome is not Outcome.FULL:  # at no common time: each sender calls once an interval in the mean
+        elif outcome is not None and outcome is not Outcome.FULL:
+            # At no common time: each sender calls once an interval in the mean.
             fraction += 0.5
         self.next_turn_at = max(self.next_turn_at, now + wait + fraction * interval)
 
@@ -705,6 +705,7 @@
         self.settings, self.rng, self.seed = settings, random.Random(seed), seed
         self.messages: dict[int, Message] = {}  # by number; those that have no final status yet
         self.earlier_attempts: Counter[int] = Counter()  # by destination: attempts made by an earlier process
+        self.spread_destinations: set[int] = set()  # those of spread_after_restart so far
         self.accepted_count = 0  # messages accepted so far, which numbers their order
         # By message and attempt: its call, and its key where messages are delivered in order.
         self.calls_by_attempt: dict[tuple[int, int], tuple[Call, int]] = {}
@@ -1035,6 +1036,8 @@
         message.resumed_untried = not event.attempts
         if event.risky_at < math.inf and not event.interrupted:
             self.suspect_outage(message.destination, event.attempts)
+        if event.attempts > int(event.interrupted):
+            self.spread_after_restart(message.destination)
         if event.interrupted:  # as after Outcome.RESET: the next try waits, and the key is paused
             message.retry_wait = self.draw_wait(message.retry_wait)
             message.not_before = self.now + max(message.retry_wait, self.settings.turn_gap)
@@ -1096,6 +1099,8 @@
             state.uncertain_share = max(state.uncertain_share, UNHEALTHY_FAILURE_SHARE if event.down else 0.0)
             if event.down and state.guaranteed_rate:  # slow start needs a listed rate to begin at
                 state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now + event.wait
+            if state.large_fleet:  # senders that are restarted together would call at the same time
+                state.spread_next_call(self.now, None, event.wait, self.rng.random())
             self.destinations_to_check[self.destination_of[event.endpoint]] = None
 
     def suspect_outage(self, destination: int, attempts: int) -> None:
@@ -1109,6 +1114,18 @@
                 if state.guaranteed_rate and not state.in_slow_start(self.now):
                     state.slow_start_at = self.now
 
+    def spread_after_restart(self, destination: int) -> None:
+        """Delays the first call to a destination at which a call of an earlier process failed or was refused.
+
+        Many senders of a large fleet may be restarted at once, in an outage that they had noticed.
+        """
+        if destination in self.spread_destinations:
+            return
+        self.spread_destinations.add(destination)
+        for state in self.states.get(destination, ()):
+            if state.large_fleet and state.may_have_been_out(self.now):
+                state.spread_next_call(self.now, None, 0.0, self.rng.random())
+
     def on_withdrawn(self, event: i.Withdrawn) -> None:
         """Drops a message; its key waits for EndAnswered, or else for the end of its attempt."""
         self.complete(event.message, acknowledged=not self.settings.ends_answered)
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -201,6 +201,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings, self.rng, self.seed = settings, random.Random(seed), seed
         self.messages: dict[int, Message] = {}  # by number; those that have no final status yet
+        self.spread_destinations = set()
         self.earlier_attempts: dict[int, int] = {}  # by destination: attempts made by an earlier process
         # By message and attempt: its call, and its key where messages are delivered in order.
         self.calls_by_attempt: dict[tuple[int, int], tuple[Call, int]] = {}
@@ -371,6 +372,8 @@
                 for state in self.states.get(message.destination, ()):
                     if state.guaranteed_rate and not state.in_slow_start(self.now):
                         state.slow_start_at = self.now
+        if event.attempts > int(event.interrupted):
+            policy.Sender.spread_after_restart(self, message.destination)
         if event.interrupted:  # as after Outcome.RESET: the next try waits, and the key is paused
             message.retry_wait = self.draw_wait(message.retry_wait)
             message.not_before = self.now + max(message.retry_wait, self.settings.turn_gap)
@@ -408,6 +411,8 @@
             state.uncertain_share = max(state.uncertain_share, UNHEALTHY_FAILURE_SHARE if event.down else 0.0)
             if event.down and state.guaranteed_rate:
                 state.consecutive_failures, state.slow_start_at = OPEN_AFTER_FAILURES, self.now + event.wait
+            if state.large_fleet:  # senders that are restarted together would call at the same time
+                state.spread_next_call(self.now, None, event.wait, self.rng.random())
 
     def on_stopping(self, event: i.Stopping) -> None:
         """Notes when the process ends."""
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -333,6 +333,11 @@
         for key in [key for key in self.idle_connections if key[0] == index]:
             self.close_idle(index, self.destinations[key[1]])
         self.add_event(now, index, self.endpoint_update)
+        for states in old.states.values():
+            for endpoint in (
+                endpoint for state in states if state.circuit_open for endpoint in state.endpoints
+            ):
+                self.add_event(now, index, i.Remembered(endpoint.entry.endpoint, 0.0, True))
         for message in sorted(old.messages.values(), key=lambda message: message.sequence):
             arrival = i.Arrival(
                 message.id, message.class_number, message.destination, message.deadline, message.key
--- a/tests/test_recovering_fleet.py
+++ b/tests/test_recovering_fleet.py
@@ -1,7 +1,7 @@
 """A destination that comes back from an outage is not overloaded by the senders that saw the outage."""
 
 import pytest
-from standins.fleet import Destination, OutageKind, SimulatedFleet
+from standins.fleet import RESTART_TIME, Destination, OutageKind, SimulatedFleet
 from standins.recovering import FALL_MS, OVERLOAD_FACTOR, Plan, play_all
 
 KINDS = {kind.value: kind for kind in OutageKind}
@@ -62,3 +62,21 @@
         overload(senders, rate, OutageKind.FAILING, seed + offset, demand=1.0) for offset in range(-2, 3)
     ]
     assert max(shares) <= 1.0, shares
+
+
+# Seven in ten senders were killed at once and called as soon as they were back, though they had seen the outage.
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(("senders", "rate"), [(51, 10.0), (100, 10.0), (200, 20.0)])
+def test_senders_that_are_restarted_at_the_end_of_an_outage_keep_the_overload_rule(senders, rate, kind):
+    shares = []
+    for seed in (1, 2, 3):
+        recovering = Destination(
+            1, lambda now: rate, kind=0, outage=LONG_OUTAGE, outage_kind=KINDS[kind]
+        )  # fmt: skip
+        fleet = SimulatedFleet(senders, [recovering], seed=seed)
+        for sender in range(senders):
+            if sender % 10 < 7:
+                fleet.schedule(LONG_OUTAGE[1] - RESTART_TIME + 200.0, fleet.restart, sender)
+        fleet.run(LONG_OUTAGE[1] + 14_000.0)
+        shares.append(recovering.overload(OVERLOAD_FACTOR, FALL_MS))
+    assert max(shares) <= 1.0, shares
