Log refused calls with their retry-after deadline and the time of the next call

Change: one line a second at most for each destination: the deadline of the response, when the next call may begin, and whether the circuit breaker is open. Failures had lines before. naive_policy.py has the same line.

--- a/rainpier/policy.py
+++ b/rainpier/policy.py
@@ -116,6 +116,7 @@
 SHUTDOWN_MARGIN_CALLS = 3.0
 # An evicted message may be submitted again after this time: a full store empties over seconds.
 EVICTED_RETRY_AFTER_MS = 1000.0
+REFUSAL_LOG_INTERVAL_MS = 1000.0  # between two log lines on refused calls to a destination
 FORGET_INTERVAL_MS = 1000.0  # interval between checks for endpoints that are gone for good
 MASK_64 = (1 << 64) - 1  # `scatter` calculates with 64-bit integers
 # The worth of a waiting call of several messages is calculated anew after this time, since until then it is
@@ -223,7 +224,7 @@
         "fleet_factor", "healthy_rate", "in_flight", "increased_at", "large_fleet", "last_sent_at",
         "last_success_at", "listed_slowdown", "max_batch", "max_turn_wait", "memory_filled", "min_rate",
         "next_decrease_at", "next_turn_at", "passing_rate", "probe_at", "probe_wait", "rate",
-        "refusal_share", "relative_latency", "retry_after_until", "sent_rate", "settings",
+        "log_at", "refusal_share", "relative_latency", "retry_after_until", "sent_rate", "settings",
         "slow_start_at", "slow_start_factor", "uncertain_share", "waited_for_turn", "window",
     )  # fmt: skip
 
@@ -233,6 +234,7 @@
         self.in_flight = 0  # calls
         self.retry_after_until = 0.0  # the latest retry-after deadline
         self.last_sent_at = 0.0
+        self.log_at = -math.inf  # when a refused call is logged again
         # The square root, since not all senders hold a message for this destination.
         self.fleet_factor = max(1.0, math.sqrt(settings.senders / SMALL_FLEET))
         # 0 for a small fleet, nearer to 1 the smaller this sender's part of all calls is likely to be.
@@ -1379,6 +1381,9 @@
         failed = event.outcome is not Outcome.OK
         if failed and state.large_fleet and state.may_have_been_out(self.now):
             state.spread_next_call(self.now, event.outcome, event.wait, self.rng.random())
+        if event.outcome is Outcome.FULL and self.now >= state.log_at:
+            state.log_at = self.now + REFUSAL_LOG_INTERVAL_MS
+            self.log_refusal(event, call)
         if state.circuit_open != was_open:
             self.open_circuit_slots += state.in_flight if state.circuit_open else -state.in_flight
             change = (
@@ -1387,6 +1392,17 @@
             self.actions.append(i.OutageChange(endpoint.entry.endpoint, state.circuit_open))
             self.actions.append(i.Log(f"destination {endpoint.entry.destination} {change}"))
 
+    def log_refusal(self, event: i.Result, call: Call) -> None:
+        """Logs a refused call, with its retry-after deadline and when the next one may begin."""
+        state, destination = call.endpoint.state, call.endpoint.entry.destination
+        next_call_at = max(state.retry_after_until, state.next_turn_at - BURST_MS)
+        if state.circuit_open:
+            next_call_at = max(next_call_at, state.probe_at)
+        next_call_in = max(0.0, next_call_at - self.now)
+        breaker = "open" if state.circuit_open else "closed"
+        text = f"destination {destination} refused a call, retry after {event.wait:.0f} ms"
+        self.actions.append(i.Log(f"{text}, next call in {next_call_in:.0f} ms, circuit breaker {breaker}"))
+
     def is_connection_refusal(self, event: i.Result, state: DestinationState, kind: int) -> bool:
         """Tells whether a connection was refused, not the call; closes idle ones where tables seem full.
 
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -625,6 +625,9 @@
             state.on_failure(self.now, event.outcome)
         if event.outcome is not Outcome.OK and state.large_fleet and state.may_have_been_out(self.now):
             state.spread_next_call(self.now, event.outcome, event.wait, self.rng.random())
+        if event.outcome is Outcome.FULL and self.now >= state.log_at:
+            state.log_at = self.now + policy.REFUSAL_LOG_INTERVAL_MS
+            policy.Sender.log_refusal(self, event, call)
         if state.circuit_open != was_open:
             change = (
                 "answers again, ramping" if was_open else f"down ({event.outcome.name.lower()}), trials only"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Rules of the policy that differ between a large fleet and a small one (policy.SMALL_FLEET)."""
 
 import random
+import re
 
 import pytest
 from test_policy import Rig, sends
@@ -120,6 +121,21 @@
     assert max(sum(at <= other < at + 100 for other in first_calls) for at in first_calls) < 10
 
 
+# The log of incident e55760 had no refusal in it, so that it could not tell what the sender had been told.
+def test_a_refusal_is_logged_with_its_deadline_and_the_time_of_the_next_call():
+    rig = Rig(senders=51)
+    list_endpoints(rig, 10.0)
+    rig.arrive(1)
+    actions = rig.result(1, i.Outcome.FULL, wait=2500.0)
+    lines = [a.text for a in actions if isinstance(a, i.Log)]
+    assert len(lines) == 1
+    found = re.fullmatch(
+        r"destination 1 refused a call, retry after 2500 ms, next call in (\d+) ms, circuit breaker closed",
+        lines[0],
+    )
+    assert found and int(found[1]) >= 2500
+
+
 # Slow start was counted from the refusal, seconds before the destination opened, and began at too high a rate.
 def test_slow_start_is_counted_from_the_retry_after_deadline_of_an_outage():
     rig = Rig(senders=40, cold=12000.0, cold_from=0.13, overload_factor=2.5)
