--- a/rainpier/interface.py
+++ b/rainpier/interface.py
@@ -101,7 +101,7 @@
     name: str = ""
     batch: int = 1  # most messages in one call
     # Each endpoint has a send rate, window and circuit breaker of its own. Otherwise all endpoints of a
-    # destination share them (policy.DestinationState).
+    # destination share them (destination.DestinationState).
     apart: bool = False
 
 
--- a/rainpier/observe/blame.py
+++ b/rainpier/observe/blame.py
@@ -2,7 +2,8 @@
 
 from .. import interface as i
 from ..backlog import Message
-from ..policy import BURST_MS, DestinationState, Sender
+from ..destination import BURST_MS, DestinationState
+from ..policy import Sender
 
 IN_FLIGHT = "out"  # its call is in flight, or its connection is being opened
 KEY_ORDER = "key"  # an earlier message of its key is pending, or the key is paused after an uncertain attempt
--- a/tests/naive_policy.py
+++ b/tests/naive_policy.py
@@ -1,7 +1,7 @@
 """A reference version of the policy without indexes: each round checks all messages and all endpoints.
 
 rainpier/policy.py must decide the same with its indexes, action for action; tests/test_same.py compares
-them. The rules are repeated here, except for those of policy.DestinationState; rainpier/policy.py has their
+them. The rules are repeated here, except for those of destination.DestinationState; rainpier/policy.py has their
 reasons. Times are in ms and rates in calls a second.
 """
 
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -99,7 +99,7 @@
     "typing",
 }  # fmt: skip
 ALLOWED_FILES = {
-    "rainpier/__init__.py", "rainpier/backlog.py", "rainpier/interface.py", "rainpier/key_queues.py",
+    "rainpier/__init__.py", "rainpier/backlog.py", "rainpier/destination.py", "rainpier/interface.py", "rainpier/key_queues.py",
     "rainpier/policy.py",
     "rainpier/structures/__init__.py", "rainpier/structures/kinetic.py", "rainpier/structures/schedule.py",
 }  # fmt: skip
