Let clients of the recovering fleet end with their run, and print results as they come

Cause: three of 52 runs of the soak stood still: asyncio.wait_for in the stand-in's client may swallow a cancellation, and its task went on submitting. Their results, and those of the 49 others, which were to be printed at the end, are lost.

Change: clients look at the end of the run; results are printed as they come.

--- a/tests/standins/recovering.py
+++ b/tests/standins/recovering.py
@@ -18,6 +18,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -197,6 +198,7 @@
         )
         self.began, self.delivered, self.submitted = float("inf"), 0, 0
         self.senders: list[SenderProcess] = []
+        self.ended = False
 
     @property
     def now_ms(self) -> float:
@@ -266,6 +268,7 @@
         tasks += [asyncio.create_task(self.restart(restart)) for restart in self.plan.restarts]
         tasks.append(asyncio.create_task(self.reset_connections(receivers)))
         await asyncio.sleep(TRAFFIC_BEFORE + self.plan.outage + OBSERVED_AFTER)
+        self.ended = True
         for task in tasks:
             task.cancel()
         results = await asyncio.gather(*tasks, return_exceptions=True)
@@ -294,7 +297,7 @@
         rng, client = random.Random(f"{self.plan.seed} {index}"), None
         mean_interval = self.plan.senders / (self.plan.rate * self.plan.demand)
         try:
-            while True:
+            while not self.ended:  # asyncio.wait_for may swallow a cancellation
                 await asyncio.sleep(rng.expovariate(1 / mean_interval))
                 self.submitted += 1
                 name, cls = f"{index:04x}{self.submitted:012x}", rng.choice(CLASSES)
@@ -334,10 +337,10 @@
     return share, line
 
 
-def play_all(plans: list[Plan], jobs: int, logs: Path | None = None) -> list[tuple[float, str]]:
-    """Plays plans, `jobs` at once, each in a process of its own."""
+def play_all(plans: list[Plan], jobs: int, logs: Path | None = None) -> Iterator[tuple[float, str]]:
+    """Plays plans, `jobs` at once, each in a process of its own; yields their results in order."""
     with ProcessPoolExecutor(jobs) as pool:
-        return list(pool.map(play, plans, [logs] * len(plans)))
+        yield from pool.map(play, plans, [logs] * len(plans))
 
 
 def main() -> None:
@@ -349,10 +352,10 @@
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     plans = [draw_plan(seed) for seed in range(int(first), int(last or first) + 1)]
-    results = play_all(plans, options.jobs, options.logs)
-    for share, line in results:
-        print(("BROKEN " if share > 1 else "kept ") + line)
-    broken = [plan.seed for plan, (share, _) in zip(plans, results, strict=True) if share > 1]
+    broken = []
+    for plan, (share, line) in zip(plans, play_all(plans, options.jobs, options.logs), strict=True):
+        print(("BROKEN " if share > 1 else "kept ") + line, flush=True)
+        broken += [plan.seed] if share > 1 else []
     print(f"{len(broken)} of {len(plans)} broken: {broken}")
     sys.exit(bool(broken))
 
