--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -28,7 +28,6 @@
 NETWORK_DELAY = 30.0  # ms one way
 DEMAND_INTERVAL = 2000.0  # ms for which the demand stays constant
 COLD_SHARE = 0.13  # share of its capacity that a destination has at the end of an outage
-WARMING_SHARE = 0.87  # the rest, which returns linearly over COLD_MS
 COLD_MS = 12000.0  # ms from the end of an outage until a destination has all of its capacity
 RESUBMIT_WAIT = 660.0  # ms, at least, until a client submits a refused message again
 RESTART_TIME = 1200.0  # ms from the end of a sender's process to the start of the next
@@ -65,6 +64,8 @@
     demand_deviation: float = 0.5  # standard deviation of the logarithm of the demand
     outage: tuple[float, float] = (math.inf, math.inf)  # begin and end, ms
     outage_kind: OutageKind = OutageKind.DOWN
+    cold_share: float = COLD_SHARE  # share of its capacity at the end of the outage
+    cold_ms: float = COLD_MS  # ms from then until it has all of it
     shut_retry_after_share: float = 0.8  # share of the refusals of a SHUT outage with a retry-after deadline
     call_size: float = 1.0  # messages in a call, by which the number of submitted messages is multiplied
     hot_keys: int = 0  # number of keys that share a part of its ordered messages (SimulatedFleet.hot_share)
@@ -79,9 +80,13 @@
         return not self.classes or cls in self.classes
 
     def capacity(self, now: float) -> float:
-        """Returns the calls a second at `now`: COLD_SHARE of the limit after an outage, all after COLD_MS."""
-        recovered = min(1.0, max(0.0, (now - self.outage[1]) / COLD_MS)) if now >= self.outage[1] else 1.0
-        return self.limit(now) * (COLD_SHARE + WARMING_SHARE * recovered if recovered < 1 else 1.0)
+        """Returns the calls a second at `now`: `cold_share` of the limit after an outage, all after `cold_ms`."""
+        recovered = (
+            min(1.0, max(0.0, (now - self.outage[1]) / self.cold_ms)) if now >= self.outage[1] else 1.0
+        )
+        return self.limit(now) * (
+            self.cold_share + (1 - self.cold_share) * recovered if recovered < 1 else 1.0
+        )
 
     def overload(self, factor: float, span: float) -> float:
         """Returns the largest share of the calls that the overload rule allows after the outage.
@@ -164,6 +169,7 @@
     shares: of the messages, by class; slots: of each sender, 0: 5 in a fleet of more than ten, otherwise 30.
     first_share: share of all messages that the first sender has; 0: the same as the others.
     configured_senders: size of the fleet in the settings; 0: the real one.
+    rules: settings of the overload rule, in place of the defaults.
     hot_share: share of a destination's ordered messages that its hot keys have.
     """
 
@@ -179,6 +185,7 @@
         shares: tuple[float, ...] = SHARES,
         kinds: tuple[i.Kind, ...] = KINDS,
         slots: int = 0,
+        **rules: float,
     ) -> None:
         self.rng, self.result = random.Random(seed), FleetResult()
         self.classes, self.shares, self.seed = classes, shares, seed
@@ -188,7 +195,8 @@
         self.settings = i.Settings(
             classes=classes, kinds=kinds, senders=configured_senders or senders,
             slots=slots or (5 if senders > 10 else 30), max_open=76 if senders > 10 else 900, tick=5.0,
-            overload_factor=2.5, cold_from=COLD_SHARE, cold=COLD_MS, rates_rough=True, may_cancel=True,
+            rates_rough=True, may_cancel=True,
+            **({"overload_factor": 2.5, "cold_from": COLD_SHARE, "cold": COLD_MS} | rules),
         )  # fmt: skip
         self.destinations = {d.number: d for d in destinations}
         entries = [
--- a/tests/test_recovering_fleet.py
+++ b/tests/test_recovering_fleet.py
@@ -6,6 +6,11 @@
 
 KINDS = {kind.value: kind for kind in OutageKind}
 LONG_OUTAGE = (4000.0, 13720.0)  # ms
+# Settings of the overload rule, by name.
+OTHER_RULES = {
+    "short-fall": {"overload_factor": 2.0, "fall": 1500.0, "cold_from": 0.22, "cold": 11_000.0},
+    "small-factor": {"overload_factor": 1.5, "fall": 2000.0, "cold_from": 0.29, "cold": 9000.0},
+}
 # Plans of real processes.
 REAL = {
     "told-when-it-opens": Plan(1, 51, 10.0, OutageKind.SHUT, 9.7, demand=1.2, retry_after_share=1.0),
@@ -80,3 +85,20 @@
         fleet.run(LONG_OUTAGE[1] + 14_000.0)
         shares.append(recovering.overload(OVERLOAD_FACTOR, FALL_MS))
     assert max(shares) <= 1.0, shares
+
+
+# Probe calls were spaced by a figure that had nothing to do with the rule: two other deployments have stricter ones.
+@pytest.mark.parametrize("kind", [*KINDS, "shut-always-told"])
+@pytest.mark.parametrize(("senders", "rate"), [(51, 10.0), (100, 10.0), (200, 20.0)])
+@pytest.mark.parametrize("rules", OTHER_RULES)
+def test_fleets_keep_the_overload_rule_under_other_settings(rules, senders, rate, kind):
+    shares, settings = [], OTHER_RULES[rules]
+    for seed in (1, 2, 3):
+        recovering = Destination(
+            1, lambda now: rate, kind=0, outage=LONG_OUTAGE, demand=1.0, cold_share=settings["cold_from"],
+            cold_ms=settings["cold"], outage_kind=KINDS[kind.partition("-")[0]],
+            shut_retry_after_share=1.0 if kind == "shut-always-told" else 0.3,
+        )  # fmt: skip
+        SimulatedFleet(senders, [recovering], seed=seed, **settings).run(LONG_OUTAGE[1] + 14_000.0)
+        shares.append(recovering.overload(settings["overload_factor"], settings["fall"]))
+    assert max(shares) <= 1.0, shares
