--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -13,7 +13,7 @@
 )
 from test_node import sender
 
-from rainpier import policy
+from rainpier import destination, policy
 from rainpier.carriers.http.receivers import Receivers
 
 
@@ -42,7 +42,7 @@
 
     The waiting messages then had to wait seven more seconds for the send rate to recover.
     """
-    monkeypatch.setattr(policy, "DECREASE_INTERVAL_MS", 20.0)
+    monkeypatch.setattr(destination, "DECREASE_INTERVAL_MS", 20.0)
 
     async def scenario():
         limit = LimitedReceiver()
